Serve a request from end to end through separate processes

Cause: nothing ran yet; every later proof and figure needs the whole path.

Change: the daemon, the operators' tool, stand-ins for engines, services and the platform, and a demo that starts two small deployments. Answers cross several targets over one shared step channel for each engine; a lost stage is replaced and its cache recomputed through throw-away sequences. Bookings are claimed in the table service under their key before they are sent once.

Ruled out: one HTTP exchange per token and stage, whose cost per exchange would not fit an entry VM at the target.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,24 @@
+import eslint from "@eslint/js";
+import tseslint from "typescript-eslint";
+
+export default tseslint.config(
+  { ignores: ["**/dist/**", "node_modules/**", "tap-snapshots/**", ".tap/**"] },
+  {
+    files: ["packages/**/*.ts"],
+    extends: [
+      eslint.configs.recommended,
+      ...tseslint.configs.strictTypeChecked,
+      ...tseslint.configs.stylisticTypeChecked,
+    ],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      "@typescript-eslint/restrict-template-expressions": [
+        "error",
+        { allowNumber: true, allowBoolean: true },
+      ],
+      "@typescript-eslint/switch-exhaustiveness-check": "error",
+    },
+  },
+);
--- /dev/null
+++ b/packages/burn/src/render.ts
@@ -0,0 +1,66 @@
+//! The burn report as text and as a page that needs nothing else.
+import type { BurnLine, BurnReport } from "./burn-report.js";
+
+const barWidth = 300;
+const barHeight = 16;
+const fullBurn = 10;
+
+/// The report as a table of text.
+export function burnReportText(report: BurnReport): string {
+  const head = ["workspace", "objective", "window", "good", "bad", "burn"];
+  const rows = report.lines.map((line) => [
+    line.workspace,
+    line.objective,
+    `${line.windowMinutes} min`,
+    String(line.good),
+    String(line.bad),
+    line.burn.toFixed(2),
+  ]);
+  const widths = head.map((title, column) =>
+    Math.max(title.length, ...rows.map((row) => row[column]?.length ?? 0)),
+  );
+  const format = (row: readonly string[]): string =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join("  ")
+      .trimEnd();
+  const times = Object.entries(report.percentiles).map(
+    ([objective, { p50, p95, p99 }]) =>
+      `${objective}: first token p50 ${p50} ms, p95 ${p95} ms, p99 ${p99} ms`,
+  );
+  return [`Burn as of ${report.asOf}`, format(head), ...rows.map(format), ...times, ""].join("\n");
+}
+
+/// The report as an HTML page with a bar for each line.
+export function burnReportHtml(report: BurnReport): string {
+  const rows = report.lines.map(htmlRow).join("\n");
+  return `<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
+<style>body{font-family:sans-serif}td,th{padding:2px 8px;text-align:left}</style></head>
+<body><h1>Service-level burn</h1><p>As of ${escapeHtml(report.asOf)}. A burn above 1 spends the
+budget too fast.</p><table><tr><th>workspace</th><th>objective</th><th>window</th><th>good</th>
+<th>bad</th><th>burn</th><th></th></tr>
+${rows}
+</table></body></html>
+`;
+}
+
+function htmlRow(line: BurnLine): string {
+  const width = Math.round((Math.min(line.burn, fullBurn) / fullBurn) * barWidth);
+  const colour = line.burn > 1 ? "#b3261e" : "#2e7d32";
+  const bar = `<svg width="${barWidth}" height="${barHeight}"><rect width="${width}" height="${barHeight}" fill="${colour}"/></svg>`;
+  const cells = [
+    escapeHtml(line.workspace),
+    escapeHtml(line.objective),
+    `${line.windowMinutes} min`,
+    line.good,
+    line.bad,
+    line.burn.toFixed(2),
+    bar,
+  ];
+  return `<tr>${cells.map((cell) => `<td>${cell}</td>`).join("")}</tr>`;
+}
+
+function escapeHtml(text: string): string {
+  return text.replace(/&/g, "&amp;").replace(/</g, "&lt;").replace(/>/g, "&gt;");
+}
--- /dev/null
+++ b/packages/common/src/logger.ts
@@ -0,0 +1,45 @@
+//! Structured logs: one JSON object a line on standard error.
+import { createConsola, type LogObject } from "consola";
+
+/// Writes an event with its fields. Fields carry the request identifier as
+/// `request` wherever there is one.
+export interface Logger {
+  info(event: string, fields?: Readonly<Record<string, unknown>>): void;
+  warn(event: string, fields?: Readonly<Record<string, unknown>>): void;
+  error(event: string, fields?: Readonly<Record<string, unknown>>): void;
+}
+
+/// Creates a logger whose lines carry `instance`.
+export function createLogger(instance: string): Logger {
+  const consola = createConsola({
+    reporters: [
+      {
+        log: (entry: LogObject) => {
+          process.stderr.write(`${line(instance, entry)}\n`);
+        },
+      },
+    ],
+  });
+  return {
+    info: (event, fields = {}) => {
+      consola.info(event, fields);
+    },
+    warn: (event, fields = {}) => {
+      consola.warn(event, fields);
+    },
+    error: (event, fields = {}) => {
+      consola.error(event, fields);
+    },
+  };
+}
+
+function line(instance: string, entry: LogObject): string {
+  const [event, fields] = entry.args as [string, Record<string, unknown>];
+  return JSON.stringify({
+    time: entry.date.toISOString(),
+    level: entry.type,
+    instance,
+    event,
+    ...fields,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/fleet-tracker.ts
@@ -0,0 +1,184 @@
+//! What this entry VM knows of each target, from its own calls, from peers and from
+//! the platform's list, and the view that routing gets of it.
+import type { Clock, Milliseconds } from "@lovagebend/common";
+import {
+  FleetView,
+  isEvidenceFresh,
+  judgeTarget,
+  TargetState,
+  type LoadReport,
+  type TargetView,
+} from "@lovagebend/membership";
+import { ListedState, type MachineList } from "@lovagebend/platform";
+import { TargetKind, type SettingsView, type TargetSettings } from "@lovagebend/settings";
+
+interface Tracked {
+  settings: TargetSettings;
+  load: LoadReport;
+  answeredAt: Milliseconds | undefined;
+  latency: Milliseconds;
+  failures: number;
+  sentTokens: number;
+}
+
+interface ListedMark {
+  readonly state: ListedState;
+  readonly revision: number;
+}
+
+/// A target that the platform's list called leaving at a revision of the list.
+export interface LeavingMark {
+  readonly name: string;
+  readonly revision: number;
+}
+
+const atRest: LoadReport = { queuedTokens: 0, tokensPerSecond: 0, leaving: false };
+const viewLifetime: Milliseconds = 20;
+const staleLimit: Milliseconds = 10_000;
+const serviceRate = 1_000;
+
+export class FleetTracker {
+  private readonly tracked = new Map<string, Tracked>();
+  private readonly listed = new Map<string, ListedMark>();
+  private cached: { view: FleetView; at: Milliseconds } | undefined;
+
+  constructor(private readonly clock: Clock) {}
+
+  /// Takes on the targets in force. A target whose address changed starts afresh.
+  configure(view: SettingsView): void {
+    for (const [name, known] of this.tracked) {
+      const wanted = view.targets.get(name);
+      const moved = wanted?.host !== known.settings.host || wanted.port !== known.settings.port;
+      if (moved) this.tracked.delete(name);
+    }
+    for (const [name, settings] of view.targets) {
+      const known = this.tracked.get(name);
+      if (known !== undefined) known.settings = settings;
+      else this.tracked.set(name, untried(settings));
+    }
+    this.cached = undefined;
+  }
+
+  /// The target answered `age` ago. An older answer than the last one changes nothing.
+  answered(name: string, load: LoadReport, latency: Milliseconds, age: Milliseconds): void {
+    const target = this.tracked.get(name);
+    const at = this.clock.monotonic() - age;
+    if (target === undefined || at <= (target.answeredAt ?? -Infinity)) return;
+    target.answeredAt = at;
+    target.load = load;
+    target.latency = latency;
+    target.failures = 0;
+    target.sentTokens = 0;
+    this.cached = undefined;
+  }
+
+  /// A call of this entry VM's own to the target failed.
+  failed(name: string): void {
+    const target = this.tracked.get(name);
+    if (target === undefined) return;
+    target.failures += 1;
+    this.cached = undefined;
+  }
+
+  /// The target was lost in the middle of work: it is down until it answers again.
+  lost(name: string): void {
+    this.failed(name);
+    this.failed(name);
+  }
+
+  noteSent(name: string, tokens: number): void {
+    const target = this.tracked.get(name);
+    if (target !== undefined) target.sentTokens += tokens;
+    this.cached = undefined;
+  }
+
+  /// Takes in the platform's list. What an earlier revision says of a VM gives way to
+  /// what a later one says of it; a VM that is absent keeps its mark, so that a list
+  /// emptied by an outage brings no leaving target back.
+  list(list: MachineList): void {
+    for (const { name, state } of list.machines)
+      this.mark(name, { state, revision: list.revision });
+  }
+
+  /// The targets that the platform's list calls leaving, for peers.
+  get leavingMarks(): LeavingMark[] {
+    return [...this.listed]
+      .filter(([name, { state }]) => state === ListedState.Leaving && this.tracked.has(name))
+      .map(([name, { revision }]) => ({ name, revision }));
+  }
+
+  /// Takes in a peer's word that targets are leaving.
+  addLeaving(marks: readonly LeavingMark[]): void {
+    for (const { name, revision } of marks)
+      this.mark(name, { state: ListedState.Leaving, revision });
+  }
+
+  /// Whether nobody has heard of the target lately.
+  isUnheard(name: string): boolean {
+    const target = this.tracked.get(name);
+    return target !== undefined && !isEvidenceFresh(this.ageOf(target));
+  }
+
+  /// Whether the target finishes what it has and gets nothing new.
+  isLeaving(name: string): boolean {
+    return this.view.get(name)?.state === TargetState.Leaving;
+  }
+
+  get view(): FleetView {
+    const now = this.clock.monotonic();
+    if (this.cached !== undefined && now - this.cached.at < viewLifetime) return this.cached.view;
+    const targets = [...this.tracked].map(([name, target]) => this.viewOf(name, target));
+    this.cached = { view: FleetView.of(targets), at: now };
+    return this.cached.view;
+  }
+
+  private mark(name: string, mark: ListedMark): void {
+    if ((this.listed.get(name)?.revision ?? -1) > mark.revision) return;
+    this.listed.set(name, mark);
+    this.cached = undefined;
+  }
+
+  private viewOf(name: string, target: Tracked): TargetView {
+    const { settings, load, latency, sentTokens } = target;
+    const isEngine = settings.kind === TargetKind.Engine;
+    return {
+      name,
+      group: isEngine ? settings.pipeline : settings.service,
+      dataCentre: settings.dataCentre,
+      firstLayer: isEngine ? settings.firstLayer : 0,
+      endLayer: isEngine ? settings.endLayer : 1,
+      tokensPerSecond: isEngine ? settings.tokensPerSecond : serviceRate,
+      latency,
+      state: this.stateOf(name, target),
+      load,
+      reportAge: Math.min(this.ageOf(target), staleLimit),
+      sentTokens,
+    };
+  }
+
+  private stateOf(name: string, target: Tracked): TargetState {
+    const age = this.ageOf(target);
+    const judged = judgeTarget({
+      ownNotice: target.load.leaving,
+      listed: this.listed.get(name)?.state,
+      lastAnswerAge: age,
+      failuresSince: target.failures,
+    });
+    return judged === TargetState.Serving && age > staleLimit ? TargetState.Down : judged;
+  }
+
+  private ageOf(target: Tracked): Milliseconds {
+    return target.answeredAt === undefined ? Infinity : this.clock.monotonic() - target.answeredAt;
+  }
+}
+
+function untried(settings: TargetSettings): Tracked {
+  return {
+    settings,
+    load: atRest,
+    answeredAt: undefined,
+    latency: 1,
+    failures: 0,
+    sentTokens: 0,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/http-reply.ts
@@ -0,0 +1,109 @@
+//! Reading requests within bounds and writing answers, shared by both servers.
+import { answerFor, ErrorKind, RouterError, RunState, type Milliseconds } from "@lovagebend/common";
+import { createHash, timingSafeEqual } from "node:crypto";
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { Result } from "true-myth";
+
+const headersTimeout: Milliseconds = 5_000;
+const requestTimeout: Milliseconds = 15_000;
+const largestHeaderBytes = 16 * 1024;
+
+/// The JSON form of an error, as docs/API.md publishes it.
+export function errorBody(error: RouterError, request: string): object {
+  const { advice } = answerFor(error.kind);
+  return {
+    error: {
+      kind: error.kind,
+      run: error.run,
+      advice,
+      message: error.message,
+      request,
+      ...(error.retryAfterSeconds === undefined
+        ? {}
+        : { retry_after_seconds: error.retryAfterSeconds }),
+    },
+  };
+}
+
+/// Answers with an error. The connection is closed when the request was not read
+/// whole.
+export function sendError(
+  response: http.ServerResponse,
+  error: RouterError,
+  request: string,
+): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const headers: http.OutgoingHttpHeaders = { "content-type": "application/json" };
+  if (error.retryAfterSeconds !== undefined)
+    headers["retry-after"] = String(error.retryAfterSeconds);
+  if (!response.req.complete) headers.connection = "close";
+  response.writeHead(answerFor(error.kind).status, headers);
+  response.end(JSON.stringify(errorBody(error, request)));
+}
+
+export function sendJson(response: http.ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+}
+
+/// Reads a body of at most `largest` bytes.
+export async function readBody(
+  request: http.IncomingMessage,
+  largest: number,
+): Promise<Result<Buffer, RouterError>> {
+  const declared = Number(request.headers["content-length"] ?? 0);
+  if (declared > largest) return Result.err(tooLarge(largest));
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > largest) return Result.err(tooLarge(largest));
+      chunks.push(chunk);
+    }
+  } catch {
+    return Result.err(new RouterError(ErrorKind.CallerGone, RunState.NotRun));
+  }
+  return Result.ok(Buffer.concat(chunks));
+}
+
+/// The SHA-256 digest of the bearer token of a request, `undefined` without one.
+export function bearerDigest(request: http.IncomingMessage): string | undefined {
+  const token = /^Bearer ([\x21-\x7e]{1,200})$/i.exec(request.headers.authorization ?? "")?.[1];
+  return token === undefined ? undefined : sha256(token);
+}
+
+export function sha256(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+export function sameDigest(left: string, right: string): boolean {
+  return left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right));
+}
+
+/// A server that ends slow and oversized requests by itself, with its port.
+export async function listen(
+  address: { readonly host: string; readonly port: number },
+  handle: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
+): Promise<{ server: http.Server; port: number }> {
+  const server = http.createServer(
+    { maxHeaderSize: largestHeaderBytes, headersTimeout, requestTimeout, noDelay: true },
+    (request, response) => {
+      response.on("error", () => undefined);
+      void handle(request, response);
+    },
+  );
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.host, resolve);
+  });
+  return { server, port: (server.address() as AddressInfo).port };
+}
+
+function tooLarge(largest: number): RouterError {
+  const detail = `At most ${largest} bytes are taken.`;
+  return new RouterError(ErrorKind.RequestTooLarge, RunState.NotRun, detail);
+}
--- /dev/null
+++ b/packages/daemon/src/metrics.ts
@@ -0,0 +1,17 @@
+//! Metrics over StatsD. docs/OPERATORS.md lists them.
+import { StatsD } from "hot-shots";
+import type { StartUpFile } from "./start-up-file.js";
+
+export type Metrics = StatsD;
+
+/// A client for the address of the start-up file; without one it sends nothing.
+export function createMetrics(file: StartUpFile): Metrics {
+  return new StatsD({
+    host: file.metrics?.host ?? "127.0.0.1",
+    ...(file.metrics === undefined ? {} : { port: file.metrics.port }),
+    mock: file.metrics === undefined,
+    prefix: "lovagebend.",
+    globalTags: { instance: file.instance, data_centre: file.dataCentre },
+    errorHandler: () => undefined,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/router.ts
@@ -0,0 +1,41 @@
+//! What the handlers of requests work with.
+import type { BurnCounts } from "@lovagebend/burn";
+import type { ClaimLedger } from "@lovagebend/claims";
+import type { Clock, Logger } from "@lovagebend/common";
+import type { RetryBudget } from "@lovagebend/limits";
+import type { EngineDirectory, ResumeKey } from "@lovagebend/pipeline";
+import type { PrefixIndex } from "@lovagebend/routing";
+import type { Admissions } from "./admissions.js";
+import type { FleetTracker } from "./fleet-tracker.js";
+import type { Metrics } from "./metrics.js";
+import type { Neighbourhood } from "./neighbourhood.js";
+import type { RequestGate } from "./request-gate.js";
+import type { SettingsKeeper } from "./settings-keeper.js";
+
+export interface Router {
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly settings: SettingsKeeper;
+  readonly fleet: FleetTracker;
+  readonly neighbourhood: Neighbourhood;
+  readonly engines: EngineDirectory;
+  readonly prefixes: PrefixIndex;
+  readonly admissions: Admissions;
+  readonly claims: ClaimLedger;
+  readonly retries: RetryBudget;
+  readonly burn: BurnCounts;
+  readonly resumeKey: ResumeKey;
+  readonly gate: RequestGate;
+  readonly createId: () => string;
+  readonly isStopping: () => boolean;
+}
+
+/// A caller's request once its workspace is known.
+export interface CallerRequest {
+  readonly id: string;
+  readonly workspace: string;
+  readonly routes: readonly string[];
+}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,6 @@
+//! Which targets and entry VMs there are, what state they are in, and how the
+//! entry VMs tell each other.
+export { FleetView, TargetState, type LoadReport, type TargetView } from "./fleet-view.js";
+export { judgeTarget, isEvidenceFresh, type TargetEvidence } from "./target-evidence.js";
+export { GossipState, type GossipDelta, type GossipEntry } from "./gossip-state.js";
+export { gossipPeers, isProber, probersPerTarget } from "./duties.js";
--- /dev/null
+++ b/packages/orders/src/index.ts
@@ -0,0 +1,3 @@
+//! Orders to engines, given under a lease with a fencing number.
+export { Lease, type LeaseOptions } from "./lease.js";
+export { planLoads, type EngineVersion, type LoadPlan } from "./load-plan.js";
--- /dev/null
+++ b/packages/pipeline/src/engine-control.ts
@@ -0,0 +1,77 @@
+//! What an engine offers beside its step channel: tokens of a text, export and
+//! import of a key/value cache, load reports, cache events, orders and state.
+import { exchangeJson, validate, type Milliseconds } from "@lovagebend/common";
+import { Result, type Unit } from "true-myth";
+import { z } from "zod";
+import type { EngineAddress } from "./engine-channel.js";
+
+const loadSchema = z.object({
+  queuedTokens: z.number().min(0),
+  tokensPerSecond: z.number().min(0),
+  leaving: z.boolean(),
+});
+const stateSchema = z.object({ version: z.string().nullable(), loading: z.string().nullable() });
+const tokensSchema = z.object({ tokens: z.array(z.number().int()) });
+const eventsSchema = z.object({
+  events: z.array(
+    z.object({
+      sequence: z.number().int(),
+      kind: z.enum(["stored", "evicted"]),
+      key: z.string().max(64),
+    }),
+  ),
+});
+const exportSchema = z.object({ positions: z.number().int(), cache: z.unknown() });
+
+/// The model version an engine serves, and the one it is loading.
+export type EngineState = z.output<typeof stateSchema>;
+/// An exported cache: opaque but for the number of positions it covers.
+export type ExportedCache = z.output<typeof exportSchema>;
+type EngineLoad = z.output<typeof loadSchema>;
+type EngineEvents = z.output<typeof eventsSchema>["events"];
+
+/// The engine's side calls. The error is a reason for people. None throws.
+export interface EngineControl {
+  load(): Promise<Result<EngineLoad, string>>;
+  state(): Promise<Result<EngineState, string>>;
+  cacheEvents(after: number): Promise<Result<EngineEvents, string>>;
+  tokenize(text: string): Promise<Result<readonly number[], string>>;
+  exportCache(sequence: string): Promise<Result<ExportedCache, string>>;
+  importCache(sequence: string, exported: ExportedCache): Promise<Result<Unit, string>>;
+  order(fencingNumber: number, version: string): Promise<Result<Unit, string>>;
+}
+
+/// Calls the engine at `address`; each call waits `timeout` at most.
+export function httpEngineControl(address: EngineAddress, timeout: Milliseconds): EngineControl {
+  const baseUrl = `http://${address.host}:${address.port}/v1`;
+  const call = async <T>(
+    method: "GET" | "POST",
+    path: string,
+    body: unknown,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, string>> => {
+    const answer = await exchangeJson({ url: `${baseUrl}${path}`, method, body, timeout });
+    if (answer.isErr) return Result.err(answer.error.reason);
+    if (answer.value.status !== 200) return Result.err(`status ${answer.value.status}`);
+    return validate(schema, answer.value.body).mapErr(() => "answer not understood");
+  };
+  const done = (outcome: Result<unknown, string>): Result<Unit, string> =>
+    outcome.andThen(() => Result.ok());
+  return {
+    load: () => call("GET", "/load", undefined, loadSchema),
+    state: () => call("GET", "/state", undefined, stateSchema),
+    async cacheEvents(after) {
+      const answer = await call("GET", `/cache-events?after=${after}`, undefined, eventsSchema);
+      return answer.map((body) => body.events);
+    },
+    async tokenize(text) {
+      const answer = await call("POST", "/tokenize", { text }, tokensSchema);
+      return answer.map((body) => body.tokens);
+    },
+    exportCache: (sequence) => call("POST", "/cache/export", { sequence }, exportSchema),
+    importCache: async (sequence, exported) =>
+      done(await call("POST", "/cache/import", { sequence, ...exported }, z.unknown())),
+    order: async (fencingNumber, version) =>
+      done(await call("POST", "/orders", { fencingNumber, version }, z.unknown())),
+  };
+}
--- /dev/null
+++ b/packages/pipeline/src/index.ts
@@ -0,0 +1,13 @@
+//! Answers over pipelines: the channel to each engine, and the task that carries
+//! one answer across its stages and through their failures.
+export {
+  EngineChannel,
+  type EngineAddress,
+  type Step,
+  type StepFailure,
+} from "./engine-channel.js";
+export { Purpose, type StepResult, type OutputToken } from "./engine-protocol.js";
+export { runAnswer, type AnswerOptions, type AnswerRequest, type AnswerToken } from "./answer.js";
+export { EngineDirectory, type EngineControl } from "./engine-directory.js";
+export { httpEngineControl, type EngineState } from "./engine-control.js";
+export { ResumeKey, type ResumePosition } from "./resume-token.js";
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,7 @@
+//! The choice of the targets that an answer crosses, and the bound that a set of
+//! targets can carry.
+export { choosePath, type Path, type PathQuery } from "./choose-path.js";
+export { chooseService } from "./choose-service.js";
+export { largestFlow, type Flow } from "./layer-flow.js";
+export { expectedDelay } from "./expected-delay.js";
+export { PrefixIndex, prefixKeys, type CacheEvent } from "./prefix-index.js";
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,7 @@
+//! Small stand-ins for the systems that the router meets. The product never
+//! imports this package.
+export { startEngine, type EngineOptions } from "./engine.js";
+export { startService, type ServiceOptions } from "./service.js";
+export { startPlatform, type PlatformOptions } from "./platform.js";
+export { endToken, referenceAnswer, tokenize, wordOf } from "./model.js";
+export type { RunningServer } from "./json-server.js";
