Prove at-most-once bookings and answers over failing stages

Change: a small world of fakes on a given clock in which every choice is drawn from a list, a judge that shares no code with the router, golden files of whole sessions, and seeded exploration with shrinking. The course of a booking moved out of the HTTP handler into runAtMostOnce, so that the tests run the daemon's own code.

A repeated step now says so, and an engine that does not know the sequence refuses it. Widening the judge to allow the case was ruled out.

Four plain ways of booking (no claim, silence taken for a grant, a held claim or silence taken for not run) each break a promise within 2,000 schedules, as their tests show.

--- a/packages/daemon/src/service-call.ts
+++ b/packages/daemon/src/service-call.ts
@@ -1,7 +1,6 @@
 //! Calls of plain services: `/v1/services/<route>/<path>`. Calls that may be repeated
 //! are retried within a budget; the others are claimed first and sent once.
-import type { Claim, Verdict } from "@lovagebend/claims";
-import { claimKey, ClaimState } from "@lovagebend/claims";
+import { claimKey, runAtMostOnce, type Verdict } from "@lovagebend/claims";
 import {
   ErrorKind,
   exchange,
@@ -149,81 +148,41 @@
   const idempotencyKey = typeof own === "string" ? own : router.createId();
   const isFirst = own === undefined || request.headers["lovagebend-first-attempt"] === "true";
   response.setHeader("idempotency-key", idempotencyKey);
-  const key = claimKey(caller.workspace, idempotencyKey);
-  const claim = await claimCall(router, key, route, call, isFirst);
-  if (claim.state !== ClaimState.Held) {
-    replay(response, claim);
-    return;
-  }
-  const verdict = await dispatchOnce(router, call);
-  const recorded = await router.claims.settle(key, claim, verdictOf(verdict));
-  router.logger.info("call settled", { request: caller.id, verdict: verdict.kind, recorded });
-  switch (verdict.kind) {
-    case "ran":
-      send(response, verdict.answer);
-      return;
-    case "notRun":
-      throw new RouterError(ErrorKind.TargetUnreachable, RunState.NotRun, "", 1);
-    case "unknown":
-      throw new RouterError(ErrorKind.OutcomeUnknown, RunState.Unknown);
-  }
+  let whole: KeptAnswer | undefined;
+  const outcome = await runAtMostOnce(
+    router.claims,
+    {
+      key: claimKey(caller.workspace, idempotencyKey),
+      requestDigest: digestOf(route, call),
+      deadline: Math.min(call.deadline, router.clock.monotonic() + claimPatience),
+      isFirst,
+    },
+    () =>
+      dispatchOnce(router, call, (answer) => {
+        whole = answer;
+      }),
+  );
+  router.metrics.increment("claim", 1, { outcome: outcome.isOk ? "ran" : outcome.error.kind });
+  if (outcome.isErr) throw outcome.error;
+  const { answer, replayed, recorded } = outcome.value;
+  router.logger.info("call settled", { request: caller.id, replayed, recorded });
+  if (replayed) response.setHeader("lovagebend-replayed", "true");
+  send(response, whole ?? (answer as KeptAnswer));
 }
 
-async function claimCall(
-  router: Router,
-  key: string,
-  route: string,
-  call: Call,
-  isFirst: boolean,
-): Promise<Claim> {
-  const digest = createHash("sha256")
+function digestOf(route: string, call: Call): string {
+  return createHash("sha256")
     .update(JSON.stringify([route, call.method, call.path]))
-    .update(call.body);
-  const deadline = Math.min(call.deadline, router.clock.monotonic() + claimPatience);
-  const request = { key, requestDigest: digest.digest("hex"), deadline };
-  const outcome = await router.claims.claim(request);
-  router.metrics.increment(`claim.${outcome.kind}`);
-  switch (outcome.kind) {
-    case "granted":
-    case "settled":
-      return outcome.claim;
-    case "held":
-      throw new RouterError(ErrorKind.ClaimHeld, RunState.Unknown, "", 1);
-    case "mismatch":
-      throw new RouterError(ErrorKind.KeyReused, RunState.NotRun);
-    case "unavailable":
-      // Without the store an earlier try under the caller's key cannot be ruled out,
-      // unless the caller says that there was none.
-      throw new RouterError(
-        ErrorKind.StoreUnavailable,
-        isFirst ? RunState.NotRun : RunState.Unknown,
-        "",
-        1,
-      );
-  }
-}
-
-function replay(response: http.ServerResponse, claim: Claim): void {
-  switch (claim.state) {
-    case ClaimState.Ran:
-      response.setHeader("lovagebend-replayed", "true");
-      send(response, claim.answer as KeptAnswer);
-      return;
-    case ClaimState.NotRun:
-      throw new RouterError(ErrorKind.KeyClosed, RunState.NotRun);
-    case ClaimState.Held:
-    case ClaimState.Unknown:
-      throw new RouterError(ErrorKind.OutcomeUnknown, RunState.Unknown);
-  }
+    .update(call.body)
+    .digest("hex");
 }
 
-type CallVerdict =
-  | { readonly kind: "ran"; readonly answer: KeptAnswer }
-  | { readonly kind: "notRun" }
-  | { readonly kind: "unknown" };
-
 // Another replica is tried only when no connection to the one before came about.
-async function dispatchOnce(router: Router, call: Call): Promise<CallVerdict> {
+async function dispatchOnce(
+  router: Router,
+  call: Call,
+  onAnswer: (answer: KeptAnswer) => void,
+): Promise<Verdict> {
   const tried = new Set<string>();
   for (;;) {
     if (router.clock.monotonic() >= call.deadline) return { kind: "notRun" };
@@ -231,7 +190,11 @@
     if (replica === undefined) return { kind: "notRun" };
     tried.add(replica.name);
     const outcome = await dispatch(router, call, replica, true);
-    if (outcome.isOk) return { kind: "ran", answer: kept(outcome.value) };
+    if (outcome.isOk) {
+      const answer = kept(outcome.value);
+      onAnswer(answer);
+      return { kind: "ran", answer: bounded(answer) };
+    }
     router.fleet.failed(replica.name);
     if (outcome.error.kind !== "notSent") return { kind: "unknown" };
   }
@@ -267,11 +230,10 @@
   return chosen;
 }
 
-function verdictOf(verdict: CallVerdict): Verdict {
-  if (verdict.kind !== "ran") return verdict;
-  const { answer } = verdict;
-  const fits = answer.body.length <= largestKeptAnswerBytes;
-  return { kind: "ran", answer: fits ? answer : { ...answer, body: "", whole: false } };
+// A long answer reaches its own caller, but is recorded without its body.
+function bounded(answer: KeptAnswer): KeptAnswer {
+  if (answer.body.length <= largestKeptAnswerBytes) return answer;
+  return { ...answer, body: "", whole: false };
 }
 
 function kept(answer: ExchangeResponse): KeptAnswer {
--- /dev/null
+++ b/packages/exploration/test/claims.test.ts
@@ -0,0 +1,208 @@
+//! Points 3 and 4: a booking runs at most once, and "not run" is true.
+import { ErrorKind, RouterError, RunState } from "@lovagebend/common";
+import t from "tap";
+import {
+  drawBookings,
+  drawFaults,
+  runClaims,
+  type BookingRunner,
+  type ClaimsFaults,
+  type PlannedBooking,
+} from "../src/claims-scenario.js";
+import { explore } from "../src/explore.js";
+import { TableFault } from "../src/fake-table.js";
+import { judgeBookings } from "../src/judge.js";
+import { World } from "../src/world.js";
+
+const schedules = 400;
+const seeds = [11, 12, 13];
+const faultsOneIn = 5;
+const noFaults: ClaimsFaults = {
+  tableFault: () => TableFault.None,
+  isOut: () => false,
+  freeze: () => 0,
+  serviceFault: () => "none",
+};
+
+function booking(entryVm: number, at: number, isFirst = false): PlannedBooking[] {
+  return [{ key: "key-1", entryVm, at, isFirst }];
+}
+
+/// Answers with the given values, then with the last.
+function inTurn<T>(first: T, ...rest: T[]): () => T {
+  let current = first;
+  const queue = [first, ...rest];
+  return () => {
+    current = queue.shift() ?? current;
+    return current;
+  };
+}
+
+async function session(
+  chains: readonly PlannedBooking[][],
+  faults: Partial<ClaimsFaults>,
+  runner?: BookingRunner,
+): Promise<{ violations: string[]; transcript: string }> {
+  const world = new World();
+  const history = await runClaims(world, chains, { ...noFaults, ...faults }, runner);
+  const violations = judgeBookings(history.runs, history.told);
+  return { violations, transcript: `${history.transcript.join("\n")}\n` };
+}
+
+function explorePlainWay(runner: BookingRunner) {
+  return explore(
+    async (world) => {
+      const chains = drawBookings(world);
+      const { runs, told } = await runClaims(world, chains, drawFaults(world, faultsOneIn), runner);
+      return judgeBookings(runs, told);
+    },
+    11,
+    2_000,
+    false,
+  );
+}
+
+/// Sends without a claim and tries again after silence.
+const withoutClaim: BookingRunner = async (_ledger, _request, dispatch) => {
+  const first = await dispatch();
+  const last = first.kind === "unknown" ? await dispatch() : first;
+  return { run: last.kind === "ran" ? "ran" : "not_run" };
+};
+
+/// Takes the silence of the store for a grant.
+const silenceIsGrant: BookingRunner = async (ledger, request, dispatch) => {
+  const outcome = await ledger.claim(request);
+  if (outcome.kind !== "granted" && outcome.kind !== "unavailable") return { run: "unknown" };
+  return { run: (await dispatch()).kind === "ran" ? "ran" : "unknown" };
+};
+
+/// Takes a claim that another entry VM holds for proof that nothing ran.
+const heldIsNotRun: BookingRunner = async (ledger, request, dispatch) => {
+  const outcome = await ledger.claim(request);
+  if (outcome.kind !== "granted") return { run: "not_run" };
+  const verdict = await dispatch();
+  await ledger.settle(request.key, outcome.claim, verdict);
+  return { run: verdict.kind === "ran" ? "ran" : "unknown" };
+};
+
+/// Says "not run" whenever the store is silent, whatever the caller sent before.
+const silenceIsNotRun: BookingRunner = async (ledger, request, dispatch) => {
+  const outcome = await ledger.claim(request);
+  if (outcome.kind === "unavailable") return { run: "not_run" };
+  if (outcome.kind !== "granted") return { run: "unknown" };
+  const verdict = await dispatch();
+  await ledger.settle(request.key, outcome.claim, verdict);
+  return { run: verdict.kind === "ran" ? "ran" : "unknown" };
+};
+
+t.test("bookings run at most once and are never falsely called not run", async (t) => {
+  for (const seed of seeds) {
+    const result = await explore(
+      async (world) => {
+        const chains = drawBookings(world);
+        const { runs, told } = await runClaims(world, chains, drawFaults(world, faultsOneIn));
+        return judgeBookings(runs, told);
+      },
+      seed,
+      schedules,
+    );
+    t.equal(result.violation, undefined, `seed ${seed}`);
+  }
+});
+
+for (const [name, runner] of Object.entries({
+  withoutClaim,
+  silenceIsGrant,
+  heldIsNotRun,
+  silenceIsNotRun,
+})) {
+  t.test(`the plain way ${name} breaks a promise`, async (t) => {
+    const result = await explorePlainWay(runner);
+    t.not(result.violation, undefined);
+    t.matchSnapshot(result.violation?.what ?? "", "what broke");
+  });
+}
+
+t.test("the same key reaches two entry VMs at once", async (t) => {
+  const { violations, transcript } = await session([booking(0, 0), booking(1, 1)], {});
+  t.same(violations, []);
+  t.matchSnapshot(transcript, "session");
+});
+
+t.test("the claim's answer is lost after it took effect", async (t) => {
+  const faults = { tableFault: inTurn(TableFault.AnswerLost, TableFault.None) };
+  const { violations, transcript } = await session([booking(0, 0)], faults);
+  t.same(violations, []);
+  t.matchSnapshot(transcript, "session");
+});
+
+t.test("the claim takes effect after its holder has given up", async (t) => {
+  const tableFault = inTurn(
+    TableFault.Delayed,
+    ...new Array<TableFault>(8).fill(TableFault.RequestLost),
+    TableFault.None,
+  );
+  const { violations, transcript } = await session([booking(0, 0, true), booking(1, 30_000)], {
+    tableFault,
+  });
+  t.same(violations, []);
+  t.matchSnapshot(transcript, "session");
+});
+
+t.test("a holder is frozen between claim and dispatch and wakes minutes later", async (t) => {
+  const freeze: ClaimsFaults["freeze"] = (moment, entryVm) =>
+    moment === "dispatch" && entryVm === "entry-a" ? 180_000 : 0;
+  const { violations, transcript } = await session(
+    [booking(0, 0), booking(1, 1_000), booking(2, 200_000)],
+    { freeze },
+  );
+  t.same(violations, []);
+  t.matchSnapshot(transcript, "session");
+});
+
+t.test("the connection dies after the booking's bytes were written", async (t) => {
+  const chains = [[...booking(0, 0, true), ...booking(1, 100)]];
+  const { violations, transcript } = await session(chains, { serviceFault: () => "answerLost" });
+  t.same(violations, []);
+  t.matchSnapshot(transcript, "session");
+});
+
+t.test("the store is out, the caller hears not run, and a later try runs once", async (t) => {
+  const world = new World();
+  const isOut = (): boolean => world.now < 6_000;
+  const chains = [[...booking(0, 0, true), ...booking(1, 3_000)]];
+  const history = await runClaims(world, chains, { ...noFaults, isOut });
+  t.same(judgeBookings(history.runs, history.told), []);
+  t.same(
+    history.told.map(({ run }) => run),
+    [RunState.NotRun, RunState.Ran],
+  );
+  t.matchSnapshot(`${history.transcript.join("\n")}\n`, "session");
+});
+
+t.test("two failures: the claim's answer is lost and its holder freezes", async (t) => {
+  const faults = {
+    tableFault: inTurn(TableFault.AnswerLost, TableFault.None),
+    freeze: (moment: string, entryVm: string) =>
+      moment === "arrival" && entryVm === "entry-a" ? 60_000 : 0,
+  };
+  const { violations, transcript } = await session([booking(0, 0), booking(1, 10)], faults);
+  t.same(violations, []);
+  t.matchSnapshot(transcript, "session");
+});
+
+t.test("two failures: a lost answer of the service and an outage before the verdict", async (t) => {
+  const world = new World();
+  const isOut = (): boolean => world.now > 20 && world.now < 20_000;
+  const chains = [[...booking(0, 0, true), ...booking(1, 1_000), ...booking(2, 30_000)]];
+  const faults = { ...noFaults, isOut, serviceFault: () => "answerLost" as const };
+  const history = await runClaims(world, chains, faults);
+  t.same(judgeBookings(history.runs, history.told), []);
+  t.matchSnapshot(`${history.transcript.join("\n")}\n`, "session");
+});
+
+t.test("every refusal says whether the request ran", (t) => {
+  const error = new RouterError(ErrorKind.OutcomeUnknown, RunState.Unknown);
+  t.equal(error.run, RunState.Unknown);
+  t.end();
+});
--- a/packages/pipeline/src/answer.ts
+++ b/packages/pipeline/src/answer.ts
@@ -10,8 +10,8 @@
 import type { TargetView } from "@lovagebend/membership";
 import { choosePath, type Path } from "@lovagebend/routing";
 import { Result, type Unit } from "true-myth";
-import type { EngineChannel, StepFailure } from "./engine-channel.js";
-import type { EngineControl } from "./engine-control.js";
+import type { StepChannel, StepFailure } from "./engine-channel.js";
+import type { CacheMover } from "./engine-control.js";
 import { Purpose, type OutputToken, type StepOutput } from "./engine-protocol.js";
 
 /// An answer to be carried. `sequencePrefix` is unique to this run of the request;
@@ -32,8 +32,8 @@
   readonly clock: Clock;
   readonly candidates: () => readonly TargetView[];
   readonly penalty: (target: TargetView) => number;
-  readonly channel: (target: string) => EngineChannel | undefined;
-  readonly control: (target: string) => EngineControl | undefined;
+  readonly channel: (target: string) => StepChannel | undefined;
+  readonly control: (target: string) => CacheMover | undefined;
   readonly isLeaving: (target: string) => boolean;
   readonly noteSent: (target: string, tokens: number) => void;
   readonly mayReplace: () => boolean;
@@ -95,6 +95,7 @@
 class AnswerRun {
   private stages: Stage[] = [];
   private readonly lostTargets = new Set<string>();
+  private readonly refusedTargets = new Set<string>();
   private sequences = 0;
   private replacements = 0;
 
@@ -237,9 +238,7 @@
     if (this.replacements > mostReplacements) throw this.failure("too many stages were lost");
     if (!this.options.mayReplace()) throw this.failure("the retry budget is spent");
     const lost = this.stageAt(index);
-    // An engine that refuses a sequence it was given has lost the cache, but may
-    // begin a new one.
-    if (failure.kind === "lost" || lost.cached === 0) this.lostTargets.add(lost.target.name);
+    this.avoid(lost.target.name, failure.kind === "lost");
     const detour = await this.awaitDetour(index, position);
     const stages = detour.targets.map((target) => this.stage(target));
     const removed = this.stages.splice(detour.first, detour.count, ...stages);
@@ -286,6 +285,13 @@
     return choosePath(fit, { firstLayer, endLayer, tokens, penalty: this.options.penalty });
   }
 
+  // An engine that refuses a step has lost the sequence, but may begin a new one; one
+  // that refuses again is avoided like one that is lost.
+  private avoid(target: string, isLost: boolean): void {
+    if (isLost || this.refusedTargets.has(target)) this.lostTargets.add(target);
+    this.refusedTargets.add(target);
+  }
+
   private async awaitDetour(index: number, tokens: number): Promise<Detour> {
     const { clock } = this.options;
     const patienceEnd = clock.monotonic() + pathPatience;
--- a/packages/pipeline/src/engine-channel.ts
+++ b/packages/pipeline/src/engine-channel.ts
@@ -21,6 +21,13 @@
   | { readonly kind: "refused"; readonly reason: string }
   | { readonly kind: "cancelled" };
 
+/// A way to run steps on one engine. `step` never throws.
+export interface StepChannel {
+  step(step: Step, signal: AbortSignal): Promise<Result<readonly StepOutput[], StepFailure>>;
+  /// Lets the engine drop a sequence and its cache.
+  closeSequence(sequence: string): void;
+}
+
 /// Signs of life come every 200 ms while steps are open, so that half a second
 /// without any means that the connection or the engine is gone. The second, fresh
 /// connection tells which; both together stay under one second.
@@ -29,9 +36,8 @@
 const longestLineBytes = 8 * 1024 * 1024;
 
 interface OpenStep {
-  readonly message: StepMessage;
+  message: StepMessage;
   readonly resolve: (outcome: Result<readonly StepOutput[], StepFailure>) => void;
-  resent: boolean;
 }
 
 interface Connection {
@@ -44,7 +50,7 @@
 /// which gives the outputs again if it has run it. Results are matched by the
 /// step's number, sequence and position; any other line is dropped, so a result
 /// that comes late or crossed reaches nobody.
-export class EngineChannel {
+export class EngineChannel implements StepChannel {
   private readonly open = new Map<number, OpenStep>();
   private outgoing: StepMessage[] = [];
   private closings: string[] = [];
@@ -60,7 +66,6 @@
     return this.open.size;
   }
 
-  /// Sends a step and resolves with its outputs. Never throws.
   step(step: Step, signal: AbortSignal): Promise<Result<readonly StepOutput[], StepFailure>> {
     if (signal.aborted) return Promise.resolve(Result.err({ kind: "cancelled" }));
     return new Promise((resolve) => {
@@ -72,7 +77,6 @@
       signal.addEventListener("abort", cancel, { once: true });
       this.open.set(message.id, {
         message,
-        resent: false,
         resolve: (outcome) => {
           signal.removeEventListener("abort", cancel);
           resolve(outcome);
@@ -83,7 +87,6 @@
     });
   }
 
-  /// Lets the engine drop a sequence and its cache.
   closeSequence(sequence: string): void {
     if (this.connection === undefined) return;
     this.closings.push(sequence);
@@ -214,16 +217,16 @@
       this.failAll(reason);
       return;
     }
+    const unsent = new Set(this.outgoing.map(({ id }) => id));
     for (const step of [...this.open.values()]) {
-      if (step.resent) {
+      if (unsent.has(step.message.id)) continue;
+      if (step.message.repeated === true) {
         this.finish(step.message.id, Result.err({ kind: "lost", reason }));
         continue;
       }
-      step.resent = true;
+      step.message = { ...step.message, repeated: true };
       this.outgoing.push(step.message);
     }
-    const unsent = new Map(this.outgoing.map((message) => [message.id, message]));
-    this.outgoing = [...unsent.values()];
     if (this.outgoing.length > 0) this.flush();
   }
 
--- a/packages/pipeline/src/engine-control.ts
+++ b/packages/pipeline/src/engine-control.ts
@@ -30,14 +30,19 @@
 type EngineLoad = z.output<typeof loadSchema>;
 type EngineEvents = z.output<typeof eventsSchema>["events"];
 
+/// Moves a sequence's cache from one engine to another. The error is a reason for
+/// people. Neither call throws.
+export interface CacheMover {
+  exportCache(sequence: string): Promise<Result<ExportedCache, string>>;
+  importCache(sequence: string, exported: ExportedCache): Promise<Result<Unit, string>>;
+}
+
 /// The engine's side calls. The error is a reason for people. None throws.
-export interface EngineControl {
+export interface EngineControl extends CacheMover {
   load(): Promise<Result<EngineLoad, string>>;
   state(): Promise<Result<EngineState, string>>;
   cacheEvents(after: number): Promise<Result<EngineEvents, string>>;
   tokenize(text: string): Promise<Result<readonly number[], string>>;
-  exportCache(sequence: string): Promise<Result<ExportedCache, string>>;
-  importCache(sequence: string, exported: ExportedCache): Promise<Result<Unit, string>>;
   order(fencingNumber: number, version: string): Promise<Result<Unit, string>>;
 }
 
--- a/packages/pipeline/src/engine-protocol.ts
+++ b/packages/pipeline/src/engine-protocol.ts
@@ -22,13 +22,15 @@
 /// Positions `from` onwards of a sequence, one input each: token numbers for the
 /// first stage, states for the others. An engine that has run these positions
 /// already gives their outputs again and runs nothing. `prefix` names the blocks of
-/// the prompt in the engine's prefix cache.
+/// the prompt in the engine's prefix cache. `repeated` marks a step that may have arrived
+/// before: an engine that does not know its sequence must not begin it anew.
 export interface StepMessage {
   readonly id: number;
   readonly sequence: string;
   readonly purpose: Purpose;
   readonly priority: number;
   readonly prefix?: readonly string[];
+  readonly repeated?: boolean;
   readonly from: number;
   readonly inputs: readonly (number | string)[];
 }
--- a/packages/pipeline/src/index.ts
+++ b/packages/pipeline/src/index.ts
@@ -4,10 +4,16 @@
   EngineChannel,
   type EngineAddress,
   type Step,
+  type StepChannel,
   type StepFailure,
 } from "./engine-channel.js";
-export { Purpose, type StepResult, type OutputToken } from "./engine-protocol.js";
+export { Purpose, type StepOutput, type StepResult, type OutputToken } from "./engine-protocol.js";
 export { runAnswer, type AnswerOptions, type AnswerRequest, type AnswerToken } from "./answer.js";
 export { EngineDirectory, type EngineControl } from "./engine-directory.js";
-export { httpEngineControl, type EngineState } from "./engine-control.js";
+export {
+  httpEngineControl,
+  type CacheMover,
+  type EngineState,
+  type ExportedCache,
+} from "./engine-control.js";
 export { ResumeKey, type ResumePosition } from "./resume-token.js";
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,3 +5,5 @@
 export { startPlatform, type PlatformOptions } from "./platform.js";
 export { endToken, referenceAnswer, tokenize, wordOf } from "./model.js";
 export type { RunningServer } from "./json-server.js";
+export { SequenceTable, type Run, type StepRequest } from "./sequence-table.js";
+export { MemoryTable } from "./memory-table.js";
--- a/packages/stand-ins/src/sequence-table.ts
+++ b/packages/stand-ins/src/sequence-table.ts
@@ -9,6 +9,7 @@
   readonly priority: number;
   readonly from: number;
   readonly prefix?: readonly string[];
+  readonly repeated?: boolean;
   readonly inputs: readonly (number | string)[];
 }
 
@@ -90,7 +91,7 @@
 
   private find(step: StepRequest): Sequence | undefined {
     const known = this.sequences.get(step.sequence);
-    if (known !== undefined || step.from !== 0) return known;
+    if (known !== undefined || step.from !== 0 || step.repeated === true) return known;
     if (this.sequences.size >= mostSequences) return undefined;
     const layers = this.range.endLayer - this.range.firstLayer;
     const caches = Array.from({ length: layers }, () => "");
