--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,4 +21,9 @@
       "@typescript-eslint/switch-exhaustiveness-check": "error",
     },
   },
+  {
+    // tap follows the promises of its subtests itself.
+    files: ["packages/*/test/**/*.ts"],
+    rules: { "@typescript-eslint/no-floating-promises": "off" },
+  },
 );
--- a/packages/daemon/src/admissions.ts
+++ b/packages/daemon/src/admissions.ts
@@ -4,8 +4,8 @@
 import { AdmissionQueue, DemandMeter, nextCapacity, shareOut } from "@lovagebend/limits";
 import { largestFlow } from "@lovagebend/routing";
 import { TargetKind, Weighting, type SettingsView } from "@lovagebend/settings";
-import type { FleetTracker } from "./fleet-tracker.js";
-import type { Neighbourhood } from "./neighbourhood.js";
+import type { FleetTracker } from "@lovagebend/membership";
+import type { Neighbourhood } from "@lovagebend/membership";
 
 interface Group {
   readonly queue: AdmissionQueue;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,24 +3,28 @@
 import { ClaimLedger } from "@lovagebend/claims";
 import { LifecycleManager, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
 import { RetryBudget } from "@lovagebend/limits";
-import { Lease } from "@lovagebend/orders";
+import { Lease, reconcileVersions, type WantedVersion } from "@lovagebend/orders";
 import { EngineDirectory, ResumeKey } from "@lovagebend/pipeline";
-import { httpMachineList, httpObjectStore, httpTableService } from "@lovagebend/platform";
+import {
+  httpMachineList,
+  httpObjectStore,
+  httpTableService,
+  type TableService,
+} from "@lovagebend/platform";
 import { PrefixIndex } from "@lovagebend/routing";
 import { SettingsStore, TargetKind, type SettingsView } from "@lovagebend/settings";
 import { Admissions } from "./admissions.js";
 import { answerCaller } from "./caller-server.js";
 import { answerControl } from "./control-server.js";
-import { FleetTracker } from "./fleet-tracker.js";
+import { FleetTracker } from "@lovagebend/membership";
 import { listen } from "./http-reply.js";
 import { KeyedTasks } from "./keyed-tasks.js";
 import { createMetrics } from "./metrics.js";
-import { Neighbourhood } from "./neighbourhood.js";
+import { Neighbourhood } from "@lovagebend/membership";
 import { peerServer, PeerClient } from "./peer-protocol.js";
-import { reconcileVersions } from "./reconcile.js";
 import { RequestGate } from "./request-gate.js";
 import type { Router } from "./router.js";
-import { SettingsKeeper } from "./settings-keeper.js";
+import { SettingsKeeper } from "@lovagebend/settings";
 import type { StartUpFile } from "./start-up-file.js";
 import {
   followMachineList,
@@ -105,32 +109,7 @@
     fleet.configure(view);
     router.engines.configure(engineAddresses(view));
     probes.configure(targetTasks(router, view));
-    reconcilers.configure(
-      new Map(
-        [...view.pipelines.keys()].map((pipeline) => {
-          const lease = new Lease({
-            name: pipeline,
-            holder: router.instance,
-            table,
-            clock,
-            createNonce: createId,
-            duration: leaseDuration,
-            grace: leaseGrace,
-          });
-          const task = (signal: AbortSignal): Promise<void> =>
-            reconcileVersions(
-              pipeline,
-              lease,
-              () => settings.view,
-              router.engines,
-              clock,
-              logger,
-              signal,
-            );
-          return [pipeline, task];
-        }),
-      ),
-    );
+    reconcilers.configure(versionTasks(router, table, view));
   });
   lifecycle.own("settings subscription", () => {
     follow.unsubscribe();
@@ -247,6 +226,37 @@
   );
 }
 
+function versionTasks(router: Router, table: TableService, view: SettingsView) {
+  const { clock, logger, instance, createId } = router;
+  return new Map(
+    [...view.pipelines.keys()].map((pipeline) => {
+      const lease = new Lease({
+        name: pipeline,
+        holder: instance,
+        table,
+        clock,
+        createNonce: createId,
+        duration: leaseDuration,
+        grace: leaseGrace,
+      });
+      const task = (signal: AbortSignal): Promise<void> =>
+        reconcileVersions(lease, () => wantedVersion(router, pipeline), clock, logger, signal);
+      return [pipeline, task] as const;
+    }),
+  );
+}
+
+function wantedVersion(router: Router, pipeline: string): WantedVersion {
+  const view = router.settings.view;
+  const engines = [...view.targets].flatMap(([name, target]) => {
+    const control = router.engines.control(name);
+    if (target.kind !== TargetKind.Engine || control === undefined) return [];
+    if (target.pipeline !== pipeline) return [];
+    return [{ name, range: `${target.firstLayer}-${target.endLayer}`, ...control }];
+  });
+  return { version: view.pipelines.get(pipeline)?.version, engines };
+}
+
 function targetTasks(router: Router, view: SettingsView) {
   return new Map(
     [...view.targets].map(([name, target]) => {
--- a/packages/daemon/src/peer-protocol.ts
+++ b/packages/daemon/src/peer-protocol.ts
@@ -4,9 +4,9 @@
 import { SettingsState } from "@lovagebend/settings";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
 import { z } from "zod";
-import { gossipEntries } from "./facts.js";
-import type { Neighbourhood } from "./neighbourhood.js";
-import type { SettingsKeeper } from "./settings-keeper.js";
+import { gossipEntries } from "@lovagebend/membership";
+import type { Neighbourhood } from "@lovagebend/membership";
+import type { SettingsKeeper } from "@lovagebend/settings";
 import type { PeerAddress } from "./start-up-file.js";
 
 const gossipRequest = z.object({ since: z.number().int(), entries: gossipEntries });
--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -6,11 +6,11 @@
 import type { EngineDirectory, ResumeKey } from "@lovagebend/pipeline";
 import type { PrefixIndex } from "@lovagebend/routing";
 import type { Admissions } from "./admissions.js";
-import type { FleetTracker } from "./fleet-tracker.js";
+import type { FleetTracker } from "@lovagebend/membership";
 import type { Metrics } from "./metrics.js";
-import type { Neighbourhood } from "./neighbourhood.js";
+import type { Neighbourhood } from "@lovagebend/membership";
 import type { RequestGate } from "./request-gate.js";
-import type { SettingsKeeper } from "./settings-keeper.js";
+import type { SettingsKeeper } from "@lovagebend/settings";
 
 export interface Router {
   readonly instance: string;
--- a/packages/daemon/src/tasks.ts
+++ b/packages/daemon/src/tasks.ts
@@ -9,10 +9,10 @@
 import type { EngineDirectory } from "@lovagebend/pipeline";
 import { TargetKind, type TargetSettings } from "@lovagebend/settings";
 import { z } from "zod";
-import type { FleetTracker } from "./fleet-tracker.js";
-import type { Neighbourhood } from "./neighbourhood.js";
+import type { FleetTracker } from "@lovagebend/membership";
+import type { Neighbourhood } from "@lovagebend/membership";
 import type { PeerClient } from "./peer-protocol.js";
-import type { SettingsKeeper } from "./settings-keeper.js";
+import type { SettingsKeeper } from "@lovagebend/settings";
 
 const gossipPause: Milliseconds = 500;
 const probePause: Milliseconds = 1_000;
--- a/packages/exploration/src/fake-engine.ts
+++ b/packages/exploration/src/fake-engine.ts
@@ -125,7 +125,7 @@
     await this.world.after(this.caller, noticeLimit);
     this.world.note(`entry -> ${this.name}: again ${step.sequence} ${step.from}`);
     const result = this.table.run({ id: this.steps, ...step, repeated: true });
-    return this.resultOf(result as { outputs?: StepOutput[]; error?: string });
+    return this.resultOf(result);
   }
 
   private async runWhenAwake(step: Step): Promise<void> {
--- a/packages/exploration/src/judge.ts
+++ b/packages/exploration/src/judge.ts
@@ -85,3 +85,134 @@
   const holdsLayer = run.firstLayer <= layer && layer < run.endLayer;
   return holdsLayer && run.from <= position && position < run.end;
 }
+
+/// A revision that an entry VM put in force.
+export interface RevisionInForce {
+  readonly entryVm: string;
+  readonly life: number;
+  readonly at: number;
+  readonly revision: number;
+}
+
+/// A change and what its operator was told; `revision` where it was told as committed.
+export interface ChangeTold {
+  readonly mark: string;
+  readonly kind: "committed" | "conflict" | "invalid" | "unknown" | "unavailable";
+  readonly revision: number | undefined;
+}
+
+/// The broken promises of a history of settings. `latest` is the last revision of the
+/// store, `last` what each entry VM has in force at the end.
+export function judgeSettings(
+  inForce: readonly RevisionInForce[],
+  accepted: readonly { readonly revision: number; readonly at: number }[],
+  told: readonly ChangeTold[],
+  stored: ReadonlyMap<number, { readonly mark: string }>,
+  last: ReadonlyMap<string, number>,
+): string[] {
+  const violations: string[] = [];
+  const current = new Map<string, RevisionInForce>();
+  for (const item of inForce) {
+    const before = current.get(item.entryVm);
+    if (before?.life === item.life && item.revision < before.revision) {
+      violations.push(`${item.entryVm} went from ${before.revision} back to ${item.revision}`);
+    }
+    current.set(item.entryVm, item);
+    const floor = Math.max(
+      0,
+      ...accepted.filter(({ at }) => at < item.at).map(({ revision }) => revision),
+    );
+    // Revision 0 is a new entry VM that is not ready yet.
+    if (item.revision > 0 && item.revision < floor) {
+      violations.push(`${item.entryVm} put ${item.revision} in force after ${floor} was accepted`);
+    }
+  }
+  const marks = [...stored.values()].map(({ mark }) => mark);
+  for (const { mark, kind, revision } of told) {
+    const isStored = marks.includes(mark);
+    if (kind === "committed" && stored.get(revision ?? 0)?.mark !== mark) {
+      violations.push(`a change told as committed under ${revision ?? 0} is not there`);
+    }
+    if (kind !== "committed" && kind !== "unknown" && isStored) {
+      violations.push(`a change told as ${kind} is in force`);
+    }
+  }
+  const latest = Math.max(0, ...stored.keys());
+  for (const [entryVm, revision] of last) {
+    if (revision !== latest) violations.push(`${entryVm} has ${revision} in force, not ${latest}`);
+  }
+  return violations;
+}
+
+/// An order as its sender sent it, under a fencing number.
+export interface OrderSent {
+  readonly holder: string;
+  readonly number: number;
+  readonly at: number;
+}
+
+/// The broken promises of a history of orders. `taken` are the numbers that engines took
+/// in order, `checks` telling whether the engine refuses stale ones.
+export function judgeOrders(
+  sent: readonly OrderSent[],
+  taken: ReadonlyMap<string, readonly { readonly number: number; readonly checks: boolean }[]>,
+): string[] {
+  const violations: string[] = [];
+  const holders = new Map<number, string>();
+  let highest = 0;
+  for (const { holder, number, at } of sent) {
+    const known = holders.get(number);
+    if (known !== undefined && known !== holder) {
+      violations.push(`number ${number} was used by ${known} and ${holder}`);
+    }
+    holders.set(number, holder);
+    if (number < highest) violations.push(`${holder} sent ${number} at ${at} after ${highest}`);
+    highest = Math.max(highest, number);
+  }
+  for (const [engine, numbers] of taken) {
+    numbers.forEach(({ number, checks }, index) => {
+      const before = Math.max(0, ...numbers.slice(0, index).map((item) => item.number));
+      if (checks && number < before) violations.push(`${engine} took ${number} after ${before}`);
+    });
+  }
+  return violations;
+}
+
+/// How an entry VM saw a target at a moment. `told` says whether anything that knows of
+/// a leaving notice could reach the entry VM then.
+export interface TargetSeen {
+  readonly entryVm: string;
+  readonly target: string;
+  readonly at: number;
+  readonly state: string;
+  readonly told: boolean;
+}
+
+const fewSeconds = 5_000;
+const startTime = 3_000;
+
+/// The broken promises of a history of targets that all answer. `noticeAt` is when the
+/// leaving notice of `leaving` could first be read.
+export function judgeMembership(
+  seen: readonly TargetSeen[],
+  leaving: string,
+  noticeAt: number,
+): string[] {
+  const violations: string[] = [];
+  const toldSince = new Map<string, number>();
+  for (const { entryVm, target, at, state, told } of seen) {
+    if (target !== leaving) {
+      if (at > startTime && state !== "serving") {
+        violations.push(`${entryVm} gave ${target} no work at ${at}, though it serves`);
+      }
+      continue;
+    }
+    if (!told || at < noticeAt) toldSince.delete(entryVm);
+    else if (!toldSince.has(entryVm)) toldSince.set(entryVm, at);
+    const since = toldSince.get(entryVm);
+    if (since !== undefined && at - since > fewSeconds && state === "serving") {
+      violations.push(`${entryVm} still gave ${target} work at ${at}`);
+    }
+  }
+  return violations;
+}
--- /dev/null
+++ b/packages/exploration/src/membership-scenario.ts
@@ -0,0 +1,201 @@
+//! Targets that leave and entry VMs that are cut off from the platform, from peers or
+//! from targets, under a list of VMs that lags, is stale or is empty.
+import type { Logger, Milliseconds } from "@lovagebend/common";
+import { FleetTracker, isProber, Neighbourhood, TargetState } from "@lovagebend/membership";
+import { ListedState, type MachineList } from "@lovagebend/platform";
+import { SettingsKeeper, SettingsState, SettingsStore } from "@lovagebend/settings";
+import { FakeTable, TableFault } from "./fake-table.js";
+import type { TargetSeen } from "./judge.js";
+import { FakeProcess, World } from "./world.js";
+
+/// A span of time in which something is wrong.
+export interface Span {
+  readonly from: Milliseconds;
+  readonly until: Milliseconds;
+}
+
+/// What goes wrong. The list is behind by `listLag`; in `listEmpty` it is a new, empty
+/// list; in `listOut` it cannot be read; in `listStale` it is the list of an hour ago,
+/// under an old revision. A leaving target tells it itself, or only the platform does.
+export interface MembershipFaults {
+  readonly leavingAt: Milliseconds;
+  readonly tellsItself: boolean;
+  readonly listLag: Milliseconds;
+  readonly listOut: Span;
+  readonly listEmpty: Span;
+  readonly listStale: Span;
+  readonly cutFromPlatform: readonly string[];
+  readonly cutFromPeers: readonly string[];
+  readonly cutSpan: Span;
+}
+
+export interface MembershipHistory {
+  readonly seen: readonly TargetSeen[];
+  readonly transcript: readonly string[];
+}
+
+const entryVmNames = ["north-1", "north-2", "north-3"];
+const targetNames = ["engine-1", "engine-2"];
+export const leavingTarget = "engine-1";
+const runTime: Milliseconds = 40_000;
+const tick: Milliseconds = 500;
+const probePause: Milliseconds = 1_000;
+const gossipPause: Milliseconds = 500;
+const listPause: Milliseconds = 2_000;
+const silent: Logger = { info: () => undefined, warn: () => undefined, error: () => undefined };
+const nothing: Span = { from: 0, until: 0 };
+
+export function drawMembershipFaults(world: World, oneIn: number): MembershipFaults {
+  const span = (): Span => {
+    if (!world.happens(oneIn)) return nothing;
+    const from = world.draw(20_000);
+    return { from, until: from + world.draw(20_000) };
+  };
+  return {
+    leavingAt: 5_000 + world.draw(15_000),
+    tellsItself: world.happens(2),
+    listLag: world.draw(3_000),
+    listOut: span(),
+    listEmpty: span(),
+    listStale: span(),
+    cutFromPlatform: entryVmNames.filter(() => world.happens(oneIn)),
+    cutFromPeers: entryVmNames.filter(() => world.happens(oneIn)),
+    cutSpan: span(),
+  };
+}
+
+interface EntryVm {
+  readonly name: string;
+  readonly process: FakeProcess;
+  readonly fleet: FleetTracker;
+  readonly neighbourhood: Neighbourhood;
+}
+
+/// Runs three entry VMs and two targets of one data centre for forty seconds.
+export async function runMembership(
+  world: World,
+  faults: MembershipFaults,
+): Promise<MembershipHistory> {
+  const seen: TargetSeen[] = [];
+  const end = new AbortController();
+  const isWithin = ({ from, until }: Span): boolean => world.now >= from && world.now < until;
+  const entryVms = entryVmNames.map((name) => startEntryVm(world, name));
+  const listAt = (at: Milliseconds): MachineList => {
+    const leaving = at >= faults.leavingAt;
+    const machines = targetNames.map((name) => ({
+      name,
+      state: leaving && name === leavingTarget ? ListedState.Leaving : ListedState.Live,
+    }));
+    return { revision: leaving ? 11 : 10, machines };
+  };
+  const readList = (): MachineList | undefined => {
+    if (isWithin(faults.listOut)) return undefined;
+    if (isWithin(faults.listStale)) return { ...listAt(0), revision: 1 };
+    if (isWithin(faults.listEmpty)) return { revision: 12, machines: [] };
+    return listAt(world.now - faults.listLag);
+  };
+  const canReachPlatform = ({ name }: EntryVm): boolean =>
+    !(faults.cutFromPlatform.includes(name) && isWithin(faults.cutSpan));
+  const canReachPeers = ({ name }: EntryVm): boolean =>
+    !(faults.cutFromPeers.includes(name) && isWithin(faults.cutSpan));
+
+  const probe = async (self: EntryVm): Promise<void> => {
+    while (!end.signal.aborted) {
+      for (const target of targetNames) {
+        const duty = isProber(self.name, target, self.neighbourhood.liveLocal());
+        if (!duty && !self.fleet.isUnheard(target)) continue;
+        const leaving =
+          faults.tellsItself && target === leavingTarget && world.now >= faults.leavingAt;
+        const load = { queuedTokens: 0, tokensPerSecond: 0, leaving };
+        self.fleet.answered(target, load, 1, 0);
+        self.neighbourhood.stateLoad(target, { load, latency: 1 });
+      }
+      await world.after(self.process, probePause);
+    }
+  };
+  const gossip = async (self: EntryVm, peer: EntryVm): Promise<void> => {
+    let cursor = 0;
+    while (!end.signal.aborted) {
+      self.neighbourhood.stateSelf(false, {});
+      if (canReachPeers(self) && canReachPeers(peer)) {
+        const delta = peer.neighbourhood.gossip.since(cursor, world.now);
+        await world.after(self.process, 1 + world.draw(200));
+        cursor = delta.cursor;
+        self.neighbourhood.take(delta.entries);
+      }
+      await world.after(self.process, gossipPause);
+    }
+  };
+  const followList = async (self: EntryVm): Promise<void> => {
+    while (!end.signal.aborted) {
+      const list = canReachPlatform(self) ? readList() : undefined;
+      if (list !== undefined) self.fleet.list(list);
+      await world.after(self.process, listPause);
+    }
+  };
+  const watch = async (self: EntryVm): Promise<void> => {
+    const before = new Map<string, string>();
+    while (!end.signal.aborted) {
+      for (const target of targetNames) {
+        const state = self.fleet.view.get(target)?.state ?? TargetState.Down;
+        const told = canReachPeers(self) || canReachPlatform(self) || faults.tellsItself;
+        seen.push({ entryVm: self.name, target, at: world.now, state, told });
+        if (before.get(target) !== state) world.note(`${self.name}: ${target} ${state}`);
+        before.set(target, state);
+      }
+      await world.after(self.process, tick);
+    }
+  };
+  const all = async (): Promise<void> => {
+    const tasks = entryVms.flatMap((self) => [
+      probe(self),
+      followList(self),
+      watch(self),
+      ...entryVms.filter((peer) => peer !== self).map((peer) => gossip(self, peer)),
+    ]);
+    await world.after(new FakeProcess("end"), runTime);
+    end.abort();
+    await Promise.all(tasks);
+  };
+  await world.run(all());
+  return { seen, transcript: world.transcript };
+}
+
+function startEntryVm(world: World, name: string): EntryVm {
+  const process = new FakeProcess(name);
+  const clock = world.clockOf(process);
+  const table = new FakeTable(world, process, {
+    nextFault: () => TableFault.None,
+    isOut: () => true,
+  });
+  const store = new SettingsStore(table.connect(process), clock, () => "nonce");
+  const settings = new SettingsKeeper(store, clock, silent);
+  settings.adopt(SettingsState.of(1, [teamChange()]));
+  const fleet = new FleetTracker(clock);
+  fleet.configure(settings.view);
+  const neighbourhood = new Neighbourhood(name, "north-a", clock, settings, fleet);
+  return { name, process, fleet, neighbourhood };
+}
+
+function teamChange() {
+  const targets = targetNames.map((name, index) => [
+    name,
+    {
+      kind: "engine",
+      pipeline: "advice",
+      host: "127.0.0.1",
+      port: 9_000 + index,
+      dataCentre: "north-a",
+      checksFencing: true,
+      firstLayer: 0,
+      endLayer: 6,
+      accelerator: "kind-1",
+      tokensPerSecond: 1_000,
+    },
+  ]);
+  const document = {
+    pipelines: { advice: { layers: 6, version: "v1" } },
+    targets: Object.fromEntries(targets) as object,
+  };
+  return { revision: 1, team: "advisory", author: "operator", time: "", nonce: "", document };
+}
--- a/packages/exploration/src/scenarios.ts
+++ b/packages/exploration/src/scenarios.ts
@@ -1,10 +1,31 @@
 //! The decisions that are explored, by name.
 import { drawBookings, drawFaults, runClaims } from "./claims-scenario.js";
 import type { Scenario } from "./explore.js";
-import { judgeAnswer, judgeBookings } from "./judge.js";
+import {
+  judgeAnswer,
+  judgeBookings,
+  judgeMembership,
+  judgeOrders,
+  judgeSettings,
+} from "./judge.js";
+import {
+  drawMembershipFaults,
+  leavingTarget,
+  runMembership,
+  type MembershipFaults,
+  type MembershipHistory,
+} from "./membership-scenario.js";
+import { drawOrdersFaults, runOrders } from "./orders-scenario.js";
 import { drawEngineFault, runPipelines, type PipelineHistory } from "./pipeline-scenario.js";
 import { referenceAnswer, tokenize } from "@lovagebend/stand-ins";
 
+import {
+  drawChanges,
+  drawSettingsFaults,
+  runSettings,
+  type SettingsHistory,
+} from "./settings-scenario.js";
+
 const faultsOneIn = 5;
 const engineFaultsOneIn = 12;
 
@@ -19,6 +40,28 @@
   });
 }
 
+/// The broken promises of a history of settings.
+export function judgeSettingsHistory(history: SettingsHistory): string[] {
+  const told = history.applied.map(({ mark, outcome }) => ({
+    mark,
+    kind: outcome.kind,
+    revision: outcome.kind === "committed" ? outcome.revision : undefined,
+  }));
+  return judgeSettings(history.inForce, history.accepted, told, history.stored, history.last);
+}
+
+/// The broken promises of a history of targets. A notice that only the platform gives
+/// can be read once the list shows it.
+export function judgeMembershipHistory(
+  { seen }: MembershipHistory,
+  faults: MembershipFaults,
+): string[] {
+  if (faults.tellsItself) return judgeMembership(seen, leavingTarget, faults.leavingAt);
+  const listed = faults.leavingAt + faults.listLag;
+  const hidden = [faults.listOut, faults.listEmpty, faults.listStale].map(({ until }) => until);
+  return judgeMembership(seen, leavingTarget, Math.max(listed, ...hidden));
+}
+
 export const scenarios: ReadonlyMap<string, Scenario> = new Map<string, Scenario>([
   [
     "claims",
@@ -36,4 +79,25 @@
     async (world) =>
       judgePipelines(await runPipelines(world, () => drawEngineFault(world, engineFaultsOneIn), 2)),
   ],
+  [
+    "settings",
+    async (world) =>
+      judgeSettingsHistory(
+        await runSettings(world, drawChanges(world), drawSettingsFaults(world, faultsOneIn)),
+      ),
+  ],
+  [
+    "orders",
+    async (world) => {
+      const { sent, taken } = await runOrders(world, drawOrdersFaults(world, faultsOneIn));
+      return judgeOrders(sent, taken);
+    },
+  ],
+  [
+    "membership",
+    async (world) => {
+      const faults = drawMembershipFaults(world, faultsOneIn);
+      return judgeMembershipHistory(await runMembership(world, faults), faults);
+    },
+  ],
 ]);
--- /dev/null
+++ b/packages/exploration/test/orders.test.ts
@@ -0,0 +1,79 @@
+//! Orders to engines under leases with fencing numbers.
+import t from "tap";
+import { explore } from "../src/explore.js";
+import { TableFault } from "../src/fake-table.js";
+import { judgeOrders } from "../src/judge.js";
+import { drawOrdersFaults, runOrders, type OrdersFaults } from "../src/orders-scenario.js";
+import { World } from "../src/world.js";
+
+const schedules = 120;
+const seeds = [41, 42, 43];
+const faultsOneIn = 5;
+const noFaults: OrdersFaults = {
+  tableFault: () => TableFault.None,
+  freeze: () => 0,
+  orderAnswerLost: () => false,
+  clockRates: [1, 1, 1],
+};
+
+t.test("orders never go back to an earlier holder's number", async (t) => {
+  for (const seed of seeds) {
+    const result = await explore(
+      async (world) => {
+        const { sent, taken } = await runOrders(world, drawOrdersFaults(world, faultsOneIn));
+        return judgeOrders(sent, taken);
+      },
+      seed,
+      schedules,
+    );
+    t.equal(result.violation, undefined, `seed ${seed}`);
+  }
+});
+
+/// Freezes the named holder once, at its given moment counted from 1.
+function freezeOnce(
+  holder: string,
+  moment: "round" | "order",
+  at: number,
+  time: number,
+): OrdersFaults["freeze"] {
+  let count = 0;
+  return (now, name) => {
+    if (now !== moment || name !== holder) return 0;
+    count += 1;
+    return count === at ? time : 0;
+  };
+}
+
+t.test("a holder freezes between its check and its send and wakes after its lease", async (t) => {
+  const freeze = freezeOnce("entry-a", "order", 1, 40_000);
+  const history = await runOrders(new World(), { ...noFaults, freeze });
+  t.same(judgeOrders(history.sent, history.taken), []);
+  t.matchSnapshot(`${history.transcript.join("\n")}\n`, "session");
+});
+
+t.test(
+  "an engine that ignores fencing numbers ends at the wanted version all the same",
+  async (t) => {
+    const freeze = freezeOnce("entry-a", "order", 2, 60_000);
+    const history = await runOrders(new World(), { ...noFaults, freeze });
+    for (const [engine, { version }] of history.versions) t.equal(version, "v3", engine);
+    t.matchSnapshot(`${history.transcript.join("\n")}\n`, "session");
+  },
+);
+
+t.test("an order is taken and its answer lost: no engine loads a version twice", async (t) => {
+  const history = await runOrders(new World(), { ...noFaults, orderAnswerLost: () => true });
+  for (const [engine, { version, loads }] of history.versions) {
+    t.equal(version, "v3", engine);
+    t.equal(loads, 2, engine);
+  }
+});
+
+t.test("at most two engines load at once", async (t) => {
+  const { transcript } = await runOrders(new World(), noFaults);
+  const loads = transcript.filter((line) => line.includes(": loads v2"));
+  const times = loads.map((line) => Number(line.slice(0, 6)));
+  t.equal(loads.length, 3);
+  t.ok((times[2] ?? 0) - (times[0] ?? 0) >= 3_000, "the third waits until one is done");
+});
--- a/packages/daemon/src/facts.ts
+++ b/packages/membership/src/facts.ts
@@ -1,6 +1,6 @@
 //! The facts that entry VMs state to each other, and how they are checked when they
 //! arrive.
-import type { GossipEntry } from "@lovagebend/membership";
+import type { GossipEntry } from "./gossip-state.js";
 import { z } from "zod";
 
 /// The keys under which facts are stated; a load fact is `load/<target>`.
--- a/packages/daemon/src/fleet-tracker.ts
+++ b/packages/membership/src/fleet-tracker.ts
@@ -1,14 +1,8 @@
 //! What this entry VM knows of each target, from its own calls, from peers and from
 //! the platform's list, and the view that routing gets of it.
 import type { Clock, Milliseconds } from "@lovagebend/common";
-import {
-  FleetView,
-  isEvidenceFresh,
-  judgeTarget,
-  TargetState,
-  type LoadReport,
-  type TargetView,
-} from "@lovagebend/membership";
+import { FleetView, TargetState, type LoadReport, type TargetView } from "./fleet-view.js";
+import { isEvidenceFresh, judgeTarget } from "./target-evidence.js";
 import { ListedState, type MachineList } from "@lovagebend/platform";
 import { TargetKind, type SettingsView, type TargetSettings } from "@lovagebend/settings";
 
--- a/packages/daemon/src/neighbourhood.ts
+++ b/packages/membership/src/neighbourhood.ts
@@ -1,6 +1,6 @@
 //! What this entry VM knows of the others: facts from gossip, put to use.
 import type { Clock, Milliseconds } from "@lovagebend/common";
-import { GossipState, type GossipEntry } from "@lovagebend/membership";
+import { GossipState, type GossipEntry } from "./gossip-state.js";
 import type { FleetTracker } from "./fleet-tracker.js";
 import {
   demandFact,
@@ -11,7 +11,7 @@
   type EntryValue,
   type LoadValue,
 } from "./facts.js";
-import type { SettingsKeeper } from "./settings-keeper.js";
+import type { SettingsKeeper } from "@lovagebend/settings";
 
 /// An entry VM as heard of. `age` is how old the news is.
 export interface EntryVmStatus extends EntryValue {
--- a/packages/daemon/src/settings-keeper.ts
+++ b/packages/settings/src/settings-keeper.ts
@@ -7,12 +7,9 @@
   type Logger,
   type Milliseconds,
 } from "@lovagebend/common";
-import {
-  mergeView,
-  SettingsState,
-  type SettingsStore,
-  type SettingsView,
-} from "@lovagebend/settings";
+import { SettingsState } from "./settings-state.js";
+import type { SettingsStore } from "./settings-store.js";
+import { mergeView, type SettingsView } from "./settings-view.js";
 import { BehaviorSubject, type Observable } from "rxjs";
 
 const pollPause: Milliseconds = 250;
