--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -6,6 +6,7 @@
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { fetchJson } from "./fetch-json.js";
+import { startRelay, type Relay } from "./relay.js";
 import { freePorts, ProcessGroup, programOf, type StartedProcess } from "./processes.js";
 
 /// An association in small: its names and the layer ranges of its engines.
@@ -35,9 +36,12 @@
   process: StartedProcess;
 }
 
+/// `port` is where the router reaches it: its own, or a relay's.
 export interface Target {
   readonly name: string;
   readonly port: number;
+  readonly ownPort: number;
+  readonly relay: Relay | undefined;
   readonly process: StartedProcess;
 }
 
@@ -61,18 +65,28 @@
 const unreadyMilliseconds = 300;
 
 /// Starts all processes, commits the first settings and waits until every entry VM is
-/// ready and knows its targets.
-export async function deploy(shape: Shape): Promise<Deployment> {
+/// ready and knows its targets. With `relayed`, the router reaches each engine through a
+/// relay.
+export async function deploy(shape: Shape, relayed = false): Promise<Deployment> {
   const group = new ProcessGroup();
   const directory = await mkdtemp(join(tmpdir(), "lovagebend-"));
+  const closers: (() => Promise<void>)[] = [];
   const close = async (): Promise<void> => {
+    for (const closer of closers) await closer();
     await group.close();
     await rm(directory, { recursive: true, force: true });
   };
   try {
     const platform = await group.start("platform", programOf("stand-ins"), ["platform"]);
     const platformUrl = `http://127.0.0.1:${platform.ready.port ?? 0}`;
-    const engines = await startEngines(shape, group, platformUrl);
+    const engines = await startEngines(shape, group, platformUrl, relayed);
+    closers.push(
+      ...engines.map(
+        ({ relay }) =>
+          async () =>
+            relay?.close(),
+      ),
+    );
     const services = await startServices(shape, group);
     const entryVms = await startEntryVms(shape, group, platformUrl, directory);
     const deployment = { shape, platform, engines, services, entryVms, group, close };
@@ -135,6 +149,7 @@
   shape: Shape,
   group: ProcessGroup,
   platformUrl: string,
+  relayed: boolean,
 ): Promise<Target[]> {
   return Promise.all(
     shape.engines.map(async ({ firstLayer, endLayer, tokensPerSecond }, index) => {
@@ -149,7 +164,9 @@
         `--checks-fencing=${index % 2 === 0}`,
         `--platform-url=${platformUrl}`,
       ]);
-      return { name, port: started.ready.port ?? 0, process: started };
+      const ownPort = started.ready.port ?? 0;
+      const relay = relayed ? await startRelay(ownPort) : undefined;
+      return { name, port: relay?.port ?? ownPort, ownPort, relay, process: started };
     }),
   );
 }
@@ -162,7 +179,8 @@
         "service",
         `--name=${name}`,
       ]);
-      return { name, port: started.ready.port ?? 0, process: started };
+      const ownPort = started.ready.port ?? 0;
+      return { name, port: ownPort, ownPort, relay: undefined, process: started };
     }),
   );
 }
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -112,6 +112,16 @@
   });
 }
 
+/// As `exchangeJson`, for a request that may be repeated: after a failure it is sent
+/// once more over a fresh connection, since the kept one may have gone silent for good.
+export async function exchangeJsonRepeatable(
+  request: JsonRequest,
+): Promise<Result<JsonResponse, ExchangeFailure>> {
+  const first = await exchangeJson(request);
+  if (first.isOk || first.error.kind !== "silent") return first;
+  return exchangeJson({ ...request, freshConnection: true });
+}
+
 function lengthOf(body: Buffer | string | undefined): http.OutgoingHttpHeaders {
   return body === undefined ? {} : { "content-length": Buffer.byteLength(body) };
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,7 +7,7 @@
 export { LifecycleManager } from "./lifecycle-manager.js";
 export { parseJson, validate, describeIssues } from "./validation.js";
 export type { ValidationIssue } from "./validation.js";
-export { exchange, exchangeJson } from "./http-exchange.js";
+export { exchange, exchangeJson, exchangeJsonRepeatable } from "./http-exchange.js";
 export type {
   ExchangeFailure,
   ExchangeRequest,
--- a/packages/daemon/src/peer-protocol.ts
+++ b/packages/daemon/src/peer-protocol.ts
@@ -1,6 +1,6 @@
 //! The calls between entry VMs, JSON-RPC over HTTP, checked on both sides.
 import { BurnCounts, type BurnSnapshot } from "@lovagebend/burn";
-import { exchangeJson, validate, type Milliseconds } from "@lovagebend/common";
+import { exchangeJsonRepeatable, validate, type Milliseconds } from "@lovagebend/common";
 import { SettingsState } from "@lovagebend/settings";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
 import { z } from "zod";
@@ -80,7 +80,7 @@
     peerKey: string,
   ) {
     this.client = new JSONRPCClient(async (payload) => {
-      const answer = await exchangeJson({
+      const answer = await exchangeJsonRepeatable({
         url: `http://${address.host}:${address.port}/rpc`,
         method: "POST",
         body: payload,
--- a/packages/daemon/src/tasks.ts
+++ b/packages/daemon/src/tasks.ts
@@ -2,7 +2,12 @@
 //! shared knowledge current. Each is a loop that ends with its signal.
 import type { BurnCounts } from "@lovagebend/burn";
 import type { ClaimLedger } from "@lovagebend/claims";
-import { exchangeJson, validate, type Clock, type Milliseconds } from "@lovagebend/common";
+import {
+  exchangeJsonRepeatable,
+  validate,
+  type Clock,
+  type Milliseconds,
+} from "@lovagebend/common";
 import { gossipPeers, isProber } from "@lovagebend/membership";
 import type { MachineListSource, ObjectStore } from "@lovagebend/platform";
 import type { PrefixIndex } from "@lovagebend/routing";
@@ -83,7 +88,7 @@
       target.dataCentre === dataCentre && isProber(self, name, neighbourhood.liveLocal());
     if (duty || fleet.isUnheard(name)) {
       const sentAt = clock.monotonic();
-      const answer = await exchangeJson({ url, method: "GET", timeout: probeTimeout });
+      const answer = await exchangeJsonRepeatable({ url, method: "GET", timeout: probeTimeout });
       const latency = clock.monotonic() - sentAt;
       const load = answer.isOk ? validate(loadSchema, answer.value.body) : undefined;
       if (load?.isOk === true) {
--- a/packages/pipeline/src/engine-control.ts
+++ b/packages/pipeline/src/engine-control.ts
@@ -1,6 +1,6 @@
 //! What an engine offers beside its step channel: tokens of a text, export and
 //! import of a key/value cache, load reports, cache events, orders and state.
-import { exchangeJson, validate, type Milliseconds } from "@lovagebend/common";
+import { exchangeJsonRepeatable, validate, type Milliseconds } from "@lovagebend/common";
 import { Result, type Unit } from "true-myth";
 import { z } from "zod";
 import type { EngineAddress } from "./engine-channel.js";
@@ -55,7 +55,12 @@
     body: unknown,
     schema: z.ZodType<T>,
   ): Promise<Result<T, string>> => {
-    const answer = await exchangeJson({ url: `${baseUrl}${path}`, method, body, timeout });
+    const answer = await exchangeJsonRepeatable({
+      url: `${baseUrl}${path}`,
+      method,
+      body,
+      timeout,
+    });
     if (answer.isErr) return Result.err(answer.error.reason);
     if (answer.value.status !== 200) return Result.err(`status ${answer.value.status}`);
     return validate(schema, answer.value.body).mapErr(() => "answer not understood");
--- a/packages/platform/src/http-table-service.ts
+++ b/packages/platform/src/http-table-service.ts
@@ -1,5 +1,10 @@
 //! The table service over HTTP with JSON bodies.
-import { exchangeJson, validate, type Milliseconds } from "@lovagebend/common";
+import {
+  exchangeJson,
+  exchangeJsonRepeatable,
+  validate,
+  type Milliseconds,
+} from "@lovagebend/common";
 import { Result } from "true-myth";
 import { z } from "zod";
 import {
@@ -60,7 +65,12 @@
   timeout: Milliseconds,
   schema: z.ZodType<T>,
 ): Promise<Result<T, StoreSilence>> {
-  const answer = await exchangeJson({ url: `${baseUrl}${path}`, method: "POST", body, timeout });
+  const answer = await exchangeJsonRepeatable({
+    url: `${baseUrl}${path}`,
+    method: "POST",
+    body,
+    timeout,
+  });
   if (answer.isErr) return Result.err(StoreSilence.Silent);
   if (answer.value.status !== 200) return Result.err(StoreSilence.Unavailable);
   return validate(schema, answer.value.body).mapErr(() => StoreSilence.Silent);
--- a/packages/platform/src/machine-list.ts
+++ b/packages/platform/src/machine-list.ts
@@ -1,6 +1,6 @@
 //! The platform's list of live and leaving VMs. It lags, and after an outage it
 //! may be stale or empty; what it says is evidence, never the whole truth.
-import { exchangeJson, validate, type Milliseconds } from "@lovagebend/common";
+import { exchangeJsonRepeatable, validate, type Milliseconds } from "@lovagebend/common";
 import { Result } from "true-myth";
 import { z } from "zod";
 import { StoreSilence } from "./table-service.js";
@@ -33,7 +33,11 @@
 /// Reads the list from the platform at `baseUrl`.
 export function httpMachineList(baseUrl: string, timeout: Milliseconds): MachineListSource {
   return async () => {
-    const answer = await exchangeJson({ url: `${baseUrl}/machines`, method: "GET", timeout });
+    const answer = await exchangeJsonRepeatable({
+      url: `${baseUrl}/machines`,
+      method: "GET",
+      timeout,
+    });
     if (answer.isErr) return Result.err(StoreSilence.Silent);
     if (answer.value.status !== 200) return Result.err(StoreSilence.Unavailable);
     return validate(listSchema, answer.value.body).mapErr(() => StoreSilence.Silent);
--- a/packages/platform/src/object-store.ts
+++ b/packages/platform/src/object-store.ts
@@ -1,5 +1,5 @@
 //! The platform's object store: named JSON documents, written whole.
-import { exchangeJson, type Milliseconds } from "@lovagebend/common";
+import { exchangeJsonRepeatable, type Milliseconds } from "@lovagebend/common";
 import { Result, type Unit } from "true-myth";
 import { StoreSilence } from "./table-service.js";
 
@@ -14,12 +14,17 @@
   const url = (name: string): string => `${baseUrl}/objects/${encodeURIComponent(name)}`;
   return {
     async put(name, value) {
-      const answer = await exchangeJson({ url: url(name), method: "PUT", body: value, timeout });
+      const answer = await exchangeJsonRepeatable({
+        url: url(name),
+        method: "PUT",
+        body: value,
+        timeout,
+      });
       if (answer.isErr) return Result.err(StoreSilence.Silent);
       return answer.value.status === 200 ? Result.ok() : Result.err(StoreSilence.Unavailable);
     },
     async get(name) {
-      const answer = await exchangeJson({ url: url(name), method: "GET", timeout });
+      const answer = await exchangeJsonRepeatable({ url: url(name), method: "GET", timeout });
       if (answer.isErr) return Result.err(StoreSilence.Silent);
       if (answer.value.status === 404) return Result.ok(undefined);
       if (answer.value.status !== 200) return Result.err(StoreSilence.Unavailable);
