Choose paths by open answers and learned rates

Traces of the emulator showed herding: queues and step times lag, while answers stay on their path.

Change: the cost of a target is its latency plus one token for each answer that crosses it, over its rate. Open answers are the engine's report moved on by what this entry VM did since; the rate is learned from the times at which steps come back, so that slow links show. Reported queues, pending prompts and step times were tried as further terms and left out.

--- /dev/null
+++ b/packages/bench/src/lp-solver.d.ts
@@ -0,0 +1,4 @@
+declare module "javascript-lp-solver" {
+  const solver: { Solve(model: object): unknown };
+  export default solver;
+}
--- a/packages/daemon/src/chat-completion.ts
+++ b/packages/daemon/src/chat-completion.ts
@@ -219,9 +219,12 @@
     channel: (target: string) => router.engines.channel(target),
     control: (target: string) => router.engines.control(target),
     isLeaving: (target: string) => router.fleet.isLeaving(target),
-    noteSent: (target: string, tokens: number) => {
-      router.fleet.noteSent(target, tokens);
-      router.prefixes.note(target, keys);
+    noteStep: (target: string, tokens: number, sentAt: Milliseconds) => {
+      router.fleet.noteStep(target, tokens, sentAt);
+    },
+    noteOpen: (target: string, change: 1 | -1) => {
+      router.fleet.noteOpen(target, change);
+      if (change === 1) router.prefixes.note(target, keys);
     },
     mayReplace: () => router.retries.spend(),
     onReplaced: (event: { readonly lost: string; readonly reason: string }) => {
--- a/packages/daemon/src/service-call.ts
+++ b/packages/daemon/src/service-call.ts
@@ -200,16 +200,16 @@
   }
 }
 
-function dispatch(
+async function dispatch(
   router: Router,
   call: Call,
   replica: TargetView,
   freshConnection: boolean,
 ): Promise<Result<ExchangeResponse, ExchangeFailure>> {
   const target = router.settings.view.targets.get(replica.name);
-  if (target === undefined)
-    return Promise.resolve(Result.err({ kind: "notSent", reason: "removed" }));
-  return exchange({
+  if (target === undefined) return Result.err({ kind: "notSent", reason: "removed" });
+  router.fleet.noteOpen(replica.name, 1);
+  const outcome = await exchange({
     url: `http://${target.host}:${target.port}${call.path}`,
     method: call.method,
     body: call.body.length === 0 ? undefined : call.body,
@@ -217,6 +217,8 @@
     timeout: Math.max(1, call.deadline - router.clock.monotonic()),
     freshConnection,
   });
+  router.fleet.noteOpen(replica.name, -1);
+  return outcome;
 }
 
 function choose(
@@ -225,9 +227,7 @@
   tried: ReadonlySet<string>,
 ): TargetView | undefined {
   const serving = router.fleet.view.serving(service).filter((target) => !tried.has(target.name));
-  const chosen = chooseService(serving, router.dataCentre);
-  if (chosen !== undefined) router.fleet.noteSent(chosen.name, 1);
-  return chosen;
+  return chooseService(serving, router.dataCentre);
 }
 
 // A long answer reaches its own caller, but is recorded without its body.
--- a/packages/daemon/src/tasks.ts
+++ b/packages/daemon/src/tasks.ts
@@ -28,6 +28,7 @@
 
 const loadSchema = z.object({
   queuedTokens: z.number().min(0),
+  openSequences: z.number().min(0),
   tokensPerSecond: z.number().min(0),
   leaving: z.boolean(),
 });
--- a/packages/exploration/src/fake-engine.ts
+++ b/packages/exploration/src/fake-engine.ts
@@ -50,9 +50,9 @@
       tokensPerSecond: fullSpeed,
       latency: 1,
       state: this.alive ? state : TargetState.Down,
-      load: { queuedTokens: 0, tokensPerSecond: 0, leaving: this.leaving },
+      load: { queuedTokens: 0, openSequences: 0, tokensPerSecond: 0, leaving: this.leaving },
       reportAge: 0,
-      sentTokens: 0,
+      openAnswers: 0,
     };
   }
 
--- a/packages/exploration/src/membership-scenario.ts
+++ b/packages/exploration/src/membership-scenario.ts
@@ -106,7 +106,7 @@
         if (!duty && !self.fleet.isUnheard(target)) continue;
         const leaving =
           faults.tellsItself && target === leavingTarget && world.now >= faults.leavingAt;
-        const load = { queuedTokens: 0, tokensPerSecond: 0, leaving };
+        const load = { queuedTokens: 0, openSequences: 0, tokensPerSecond: 0, leaving };
         self.fleet.answered(target, load, 1, 0);
         self.neighbourhood.stateLoad(target, { load, latency: 1 });
       }
--- a/packages/exploration/src/pipeline-scenario.ts
+++ b/packages/exploration/src/pipeline-scenario.ts
@@ -78,7 +78,8 @@
     channel: find,
     control: (name) => find(name),
     isLeaving: (name) => find(name)?.isLeaving ?? false,
-    noteSent: () => undefined,
+    noteStep: () => undefined,
+    noteOpen: () => undefined,
     mayReplace: () => true,
     onReplaced: ({ lost, reason, replacement, movedPositions }) => {
       world.note(
--- a/packages/exploration/src/settings-scenario.ts
+++ b/packages/exploration/src/settings-scenario.ts
@@ -178,7 +178,7 @@
           ? SettingsState.of(keeper.state.revision, [...keeper.state.teams.values()])
           : self.keeper.state.with(missed);
       await world.after(self.process, 1 + world.draw(900));
-      if (signal.aborted) return;
+      if (isEnded(signal)) return;
       self.keeper.adopt(heard);
       if (keeper.confirmedAge !== undefined) {
         self.keeper.confirm(keeper.state.revision, keeper.confirmedAge);
@@ -273,3 +273,7 @@
       return outcome.kind;
   }
 }
+
+function isEnded(signal: AbortSignal): boolean {
+  return signal.aborted;
+}
--- a/packages/membership/src/facts.ts
+++ b/packages/membership/src/facts.ts
@@ -18,6 +18,7 @@
 const loadValue = z.object({
   load: z.object({
     queuedTokens: z.number().min(0),
+    openSequences: z.number().min(0),
     tokensPerSecond: z.number().min(0),
     leaving: z.boolean(),
   }),
--- a/packages/membership/src/fleet-tracker.ts
+++ b/packages/membership/src/fleet-tracker.ts
@@ -1,6 +1,7 @@
 //! What this entry VM knows of each target, from its own calls, from peers and from
 //! the platform's list, and the view that routing gets of it.
 import type { Clock, Milliseconds } from "@lovagebend/common";
+import { StepMeter } from "./step-meter.js";
 import { FleetView, TargetState, type LoadReport, type TargetView } from "./fleet-view.js";
 import { isEvidenceFresh, judgeTarget } from "./target-evidence.js";
 import { ListedState, type MachineList } from "@lovagebend/platform";
@@ -12,7 +13,9 @@
   answeredAt: Milliseconds | undefined;
   latency: Milliseconds;
   failures: number;
-  sentTokens: number;
+  readonly meter: StepMeter;
+  ownOpen: number;
+  ownOpenAtReport: number;
 }
 
 interface ListedMark {
@@ -26,7 +29,12 @@
   readonly revision: number;
 }
 
-const atRest: LoadReport = { queuedTokens: 0, tokensPerSecond: 0, leaving: false };
+const atRest: LoadReport = {
+  queuedTokens: 0,
+  openSequences: 0,
+  tokensPerSecond: 0,
+  leaving: false,
+};
 const viewLifetime: Milliseconds = 20;
 const staleLimit: Milliseconds = 10_000;
 const serviceRate = 1_000;
@@ -60,9 +68,9 @@
     if (target === undefined || at <= (target.answeredAt ?? -Infinity)) return;
     target.answeredAt = at;
     target.load = load;
+    target.ownOpenAtReport = target.ownOpen;
     target.latency = latency;
     target.failures = 0;
-    target.sentTokens = 0;
     this.cached = undefined;
   }
 
@@ -80,9 +88,16 @@
     this.failed(name);
   }
 
-  noteSent(name: string, tokens: number): void {
+  /// A step of `tokens` tokens, sent to the target at `sentAt`, came back.
+  noteStep(name: string, tokens: number, sentAt: Milliseconds): void {
     const target = this.tracked.get(name);
-    if (target !== undefined) target.sentTokens += tokens;
+    target?.meter.done(tokens, sentAt, this.clock.monotonic(), target.latency);
+  }
+
+  /// An answer of this entry VM's began (1) or ended (-1) to cross the target.
+  noteOpen(name: string, change: 1 | -1): void {
+    const target = this.tracked.get(name);
+    if (target !== undefined) target.ownOpen = Math.max(0, target.ownOpen + change);
     this.cached = undefined;
   }
 
@@ -133,7 +148,7 @@
   }
 
   private viewOf(name: string, target: Tracked): TargetView {
-    const { settings, load, latency, sentTokens } = target;
+    const { settings, load, latency } = target;
     const isEngine = settings.kind === TargetKind.Engine;
     return {
       name,
@@ -141,12 +156,15 @@
       dataCentre: settings.dataCentre,
       firstLayer: isEngine ? settings.firstLayer : 0,
       endLayer: isEngine ? settings.endLayer : 1,
-      tokensPerSecond: isEngine ? settings.tokensPerSecond : serviceRate,
+      tokensPerSecond: Math.min(rateOf(settings), target.meter.tokensPerSecond ?? Infinity),
       latency,
       state: this.stateOf(name, target),
       load,
       reportAge: Math.min(this.ageOf(target), staleLimit),
-      sentTokens,
+      openAnswers: Math.max(
+        target.ownOpen,
+        load.openSequences + target.ownOpen - target.ownOpenAtReport,
+      ),
     };
   }
 
@@ -166,6 +184,10 @@
   }
 }
 
+function rateOf(settings: TargetSettings): number {
+  return settings.kind === TargetKind.Engine ? settings.tokensPerSecond : serviceRate;
+}
+
 function untried(settings: TargetSettings): Tracked {
   return {
     settings,
@@ -173,6 +195,8 @@
     answeredAt: undefined,
     latency: 1,
     failures: 0,
-    sentTokens: 0,
+    meter: new StepMeter(),
+    ownOpen: 0,
+    ownOpenAtReport: 0,
   };
 }
--- a/packages/membership/src/fleet-view.ts
+++ b/packages/membership/src/fleet-view.ts
@@ -10,17 +10,20 @@
   Down = "down",
 }
 
-/// What a target said of itself. `queuedTokens` is work waiting on it;
-/// `tokensPerSecond` what it did lately. `leaving` is its own notice.
+/// What a target said of itself. `queuedTokens` is work waiting on it; `openSequences`
+/// how many it holds; `tokensPerSecond` what it did lately. `leaving` is its own notice.
 export interface LoadReport {
   readonly queuedTokens: number;
+  readonly openSequences: number;
   readonly tokensPerSecond: number;
   readonly leaving: boolean;
 }
 
 /// A target as routing sees it. Layers run from `firstLayer` up to, not
-/// including, `endLayer`. `sentTokens` counts the work this entry VM has sent
-/// since `load` was measured; `reportAge` is how long ago that was.
+/// including, `endLayer`. `latency` is the round trip of a probe;
+/// `tokensPerSecond` what the target does at most, as learned or else as set;
+/// `openAnswers` how many answers cross it, this entry VM's own up to the moment;
+/// `reportAge` how old `load` is.
 export interface TargetView {
   readonly name: string;
   readonly group: string;
@@ -32,7 +35,7 @@
   readonly state: TargetState;
   readonly load: LoadReport;
   readonly reportAge: Milliseconds;
-  readonly sentTokens: number;
+  readonly openAnswers: number;
 }
 
 /// The targets by name. `group` of a target is its pipeline or service.
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,6 +4,7 @@
 export { judgeTarget, isEvidenceFresh, type TargetEvidence } from "./target-evidence.js";
 export { GossipState, type GossipDelta, type GossipEntry } from "./gossip-state.js";
 export { gossipPeers, isProber, probersPerTarget } from "./duties.js";
+export { StepMeter } from "./step-meter.js";
 export { FleetTracker, type LeavingMark } from "./fleet-tracker.js";
 export { Neighbourhood, type EntryVmStatus } from "./neighbourhood.js";
 export { gossipEntries } from "./facts.js";
--- a/packages/pipeline/src/answer.ts
+++ b/packages/pipeline/src/answer.ts
@@ -35,7 +35,8 @@
   readonly channel: (target: string) => StepChannel | undefined;
   readonly control: (target: string) => CacheMover | undefined;
   readonly isLeaving: (target: string) => boolean;
-  readonly noteSent: (target: string, tokens: number) => void;
+  readonly noteStep: (target: string, tokens: number, sentAt: Milliseconds) => void;
+  readonly noteOpen: (target: string, change: 1 | -1) => void;
   readonly mayReplace: () => boolean;
   readonly onReplaced: (event: StageReplaced) => void;
 }
@@ -106,11 +107,9 @@
   ) {}
 
   choose(): void {
-    const tokens = this.request.tokens.length;
-    const path = this.findPath(0, this.request.layers, tokens);
+    const path = this.findPath(0, this.request.layers);
     if (path.isErr) throw this.noPath(path.error.layer);
     this.stages = path.value.targets.map((target) => this.stage(target));
-    for (const { target } of this.stages) this.options.noteSent(target.name, tokens);
   }
 
   /// The token that follows `tokens`, of which those before `from` have been run.
@@ -225,7 +224,9 @@
       from,
       inputs: inputs as readonly (number | string)[],
     };
+    const sentAt = this.options.clock.monotonic();
     const outcome = await channel.step(message, this.signal);
+    if (outcome.isOk) this.options.noteStep(stage.target.name, inputs.length, sentAt);
     return outcome.mapErr((failure) => ({ stage, failure }));
   }
 
@@ -239,11 +240,10 @@
     if (!this.options.mayReplace()) throw this.failure("the retry budget is spent");
     const lost = this.stageAt(index);
     this.avoid(lost.target.name, failure.kind === "lost");
-    const detour = await this.awaitDetour(index, position);
+    const detour = await this.awaitDetour(index);
     const stages = detour.targets.map((target) => this.stage(target));
     const removed = this.stages.splice(detour.first, detour.count, ...stages);
-    for (const stage of removed) if (stage !== lost) this.closeStage(stage);
-    for (const { target } of stages) this.options.noteSent(target.name, position);
+    for (const stage of removed) this.closeStage(stage);
     this.report(lost, failure.reason, stages, position, 0);
     return detour.first;
   }
@@ -255,11 +255,14 @@
     for (const [index, stage] of this.stages.entries()) {
       if (!this.options.isLeaving(stage.target.name)) continue;
       const { firstLayer, endLayer } = stage.target;
-      const path = this.findPath(firstLayer, endLayer, position);
+      const path = this.findPath(firstLayer, endLayer);
       const [target, ...others] = path.isOk ? path.value.targets : [];
       if (target === undefined || others.length > 0) continue;
       const replacement = this.stage(target);
-      if (!(await this.moveCache(stage, replacement))) continue;
+      if (!(await this.moveCache(stage, replacement))) {
+        this.closeStage(replacement);
+        continue;
+      }
       this.stages[index] = replacement;
       this.report(stage, "leaving", [replacement], position, replacement.cached);
       this.closeStage(stage);
@@ -276,13 +279,9 @@
     return true;
   }
 
-  private findPath(
-    firstLayer: number,
-    endLayer: number,
-    tokens: number,
-  ): Result<Path, { readonly layer: number }> {
+  private findPath(firstLayer: number, endLayer: number): Result<Path, { readonly layer: number }> {
     const fit = this.options.candidates().filter((target) => !this.lostTargets.has(target.name));
-    return choosePath(fit, { firstLayer, endLayer, tokens, penalty: this.options.penalty });
+    return choosePath(fit, { firstLayer, endLayer, penalty: this.options.penalty });
   }
 
   // An engine that refuses a step has lost the sequence, but may begin a new one; one
@@ -292,11 +291,11 @@
     this.refusedTargets.add(target);
   }
 
-  private async awaitDetour(index: number, tokens: number): Promise<Detour> {
+  private async awaitDetour(index: number): Promise<Detour> {
     const { clock } = this.options;
     const patienceEnd = clock.monotonic() + pathPatience;
     while (clock.monotonic() < patienceEnd && !this.signal.aborted) {
-      const detour = this.findDetour(index, tokens);
+      const detour = this.findDetour(index);
       if (detour !== undefined) return detour;
       await clock.sleep(pathPause, this.signal);
       // A target that was lost may have come back meanwhile.
@@ -307,7 +306,7 @@
 
   // The fewest stages to replace: the lost one alone, else with those after it, whose
   // caches are then rebuilt, else with those before it.
-  private findDetour(index: number, tokens: number): Detour | undefined {
+  private findDetour(index: number): Detour | undefined {
     const spans = this.stages.slice(index).map((_, further) => [index, index + further] as const);
     const earlier = this.stages
       .slice(0, index)
@@ -315,13 +314,14 @@
     for (const [first, last] of [...spans, ...earlier.reverse()]) {
       const { firstLayer } = this.stageAt(first).target;
       const { endLayer } = this.stageAt(last).target;
-      const path = this.findPath(firstLayer, endLayer, tokens);
+      const path = this.findPath(firstLayer, endLayer);
       if (path.isOk) return { first, count: last - first + 1, targets: path.value.targets };
     }
     return undefined;
   }
 
   private stage(target: TargetView): Stage {
+    this.options.noteOpen(target.name, 1);
     return { target, sequence: this.nextSequence(), cached: 0 };
   }
 
@@ -337,6 +337,7 @@
   }
 
   private closeStage(stage: Stage): void {
+    this.options.noteOpen(stage.target.name, -1);
     this.options.channel(stage.target.name)?.closeSequence(stage.sequence);
   }
 
--- a/packages/pipeline/src/engine-control.ts
+++ b/packages/pipeline/src/engine-control.ts
@@ -7,6 +7,7 @@
 
 const loadSchema = z.object({
   queuedTokens: z.number().min(0),
+  openSequences: z.number().min(0),
   tokensPerSecond: z.number().min(0),
   leaving: z.boolean(),
 });
--- a/packages/routing/src/choose-path.ts
+++ b/packages/routing/src/choose-path.ts
@@ -11,13 +11,12 @@
   readonly delay: Milliseconds;
 }
 
-/// The layers to cross, from `firstLayer` up to, not including, `endLayer`, and
-/// the work in tokens. `penalty` adds milliseconds to a target, for example for
+/// The layers to cross, from `firstLayer` up to, not including, `endLayer`.
+/// `penalty` adds milliseconds to a target, for example for
 /// a prefix that it does not hold; it is 0 where absent.
 export interface PathQuery {
   readonly firstLayer: number;
   readonly endLayer: number;
-  readonly tokens: number;
   readonly penalty?: (target: TargetView) => Milliseconds;
 }
 
@@ -40,7 +39,7 @@
   for (const target of inOrder) {
     const before = best.get(target.firstLayer);
     if (before === undefined) continue;
-    const own = expectedDelay(target, query.tokens) + (query.penalty?.(target) ?? 0);
+    const own = expectedDelay(target) + (query.penalty?.(target) ?? 0);
     const delay = before.delay + own;
     if (delay < (best.get(target.endLayer)?.delay ?? Infinity)) {
       best.set(target.endLayer, { delay, target });
--- a/packages/routing/src/choose-service.ts
+++ b/packages/routing/src/choose-service.ts
@@ -12,6 +12,6 @@
   const among = local.length > 0 ? local : replicas;
   return among.reduce<TargetView | undefined>((best, replica) => {
     if (best === undefined) return replica;
-    return expectedDelay(replica, 1) < expectedDelay(best, 1) ? replica : best;
+    return expectedDelay(replica) < expectedDelay(best) ? replica : best;
   }, undefined);
 }
--- a/packages/routing/src/expected-delay.ts
+++ b/packages/routing/src/expected-delay.ts
@@ -1,16 +1,14 @@
-//! The delay a target adds to the next token it is given.
+//! The delay a target adds to each token of an answer that crosses it.
 import type { Milliseconds } from "@lovagebend/common";
 import type { TargetView } from "@lovagebend/membership";
 
 const millisecondsPerSecond = 1_000;
 
-/// Estimates when `target` would be done with `tokens` more tokens, the link to
-/// it included. The backlog is what the target reported, less what it has worked
-/// off since, plus what this entry VM has sent since: a report that lags does not
-/// make every request run to the target that looked idle.
-export function expectedDelay(target: TargetView, tokens: number): Milliseconds {
-  const workedOff = (target.reportAge * target.tokensPerSecond) / millisecondsPerSecond;
-  const reported = Math.max(0, target.load.queuedTokens - workedOff);
-  const backlog = reported + target.sentTokens + tokens;
-  return target.latency + (backlog * millisecondsPerSecond) / target.tokensPerSecond;
+/// Estimates how long a token of one more answer takes on `target`, the link to it
+/// included: each answer that crosses the target may have a token before it. Open answers
+/// are known at once for those of this entry VM, while queues are reported late, and
+/// judged by them every answer would run to the target that looked idle a moment ago.
+export function expectedDelay(target: TargetView): Milliseconds {
+  const tokens = target.openAnswers + 1;
+  return target.latency + (tokens * millisecondsPerSecond) / target.tokensPerSecond;
 }
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -18,6 +18,8 @@
   readonly version: string;
   readonly platformUrl?: string | undefined;
   readonly keepsRecord: boolean;
+  /// Called for each step just before its outputs are written.
+  readonly onOutputs?: (sequence: string, from: number) => void;
 }
 
 interface Queued {
@@ -61,7 +63,7 @@
   private leaving = false;
   private slowness = 1;
   private lossyEvents = false;
-  private report = { queuedTokens: 0, tokensPerSecond: 0, leaving: false };
+  private report = { queuedTokens: 0, openSequences: 0, tokensPerSecond: 0, leaving: false };
   private doneTokens = 0;
   private version: string | null;
   private loading: string | null = null;
@@ -174,6 +176,7 @@
       const result = this.sequences.run(step);
       if (step.prefix !== undefined && !this.lossyEvents) this.prefixes.store(step.prefix);
       connection.open -= 1;
+      this.options.onOutputs?.(step.sequence, step.from);
       results.set(connection, [...(results.get(connection) ?? []), result]);
     }
     for (const [connection, list] of results) {
@@ -185,7 +188,12 @@
     const queuedTokens = this.queue.reduce((sum, { step }) => sum + this.costOf(step), 0);
     const tokensPerSecond = (this.doneTokens * 1_000) / reportInterval;
     this.doneTokens = 0;
-    this.report = { queuedTokens, tokensPerSecond, leaving: this.leaving };
+    this.report = {
+      queuedTokens,
+      openSequences: this.sequences.size,
+      tokensPerSecond,
+      leaving: this.leaving,
+    };
   }
 
   private exportCache(body: { sequence: string }): Answer {
--- a/packages/stand-ins/src/sequence-table.ts
+++ b/packages/stand-ins/src/sequence-table.ts
@@ -46,6 +46,10 @@
 
   constructor(private readonly range: Range) {}
 
+  get size(): number {
+    return this.sequences.size;
+  }
+
   /// Runs a step, or repeats the outputs of the same step without running it.
   run(step: StepRequest): object {
     const answer = { id: step.id, sequence: step.sequence, from: step.from };
--- a/packages/stand-ins/src/service.ts
+++ b/packages/stand-ins/src/service.ts
@@ -37,7 +37,10 @@
         "GET /stock",
         (_body: unknown, url: URL) => ok({ item: url.searchParams.get("item"), left: 7 }),
       ],
-      ["GET /v1/load", () => ok({ queuedTokens: 0, tokensPerSecond: 0, leaving })],
+      [
+        "GET /v1/load",
+        () => ok({ queuedTokens: 0, openSequences: 0, tokensPerSecond: 0, leaving }),
+      ],
       ["GET /record", () => ok({ bookings })],
       [
         "POST /control",
