--- /dev/null
+++ b/packages/bench/src/benches.ts
@@ -0,0 +1,10 @@
+//! The benchmarks by name.
+import type { BenchResult } from "./bench-result.js";
+import { benchOverhead } from "./overhead.js";
+import { benchThroughput } from "./throughput.js";
+
+export const benches: ReadonlyMap<string, (seed: number) => Promise<BenchResult> | BenchResult> =
+  new Map<string, (seed: number) => Promise<BenchResult> | BenchResult>([
+    ["overhead", benchOverhead],
+    ["throughput", benchThroughput],
+  ]);
--- a/packages/bench/src/chat-caller.ts
+++ b/packages/bench/src/chat-caller.ts
@@ -21,10 +21,12 @@
   readonly error: string | undefined;
 }
 
-/// Streams an answer. `onToken` sees each token as it comes. Never throws.
+/// Streams an answer. `onToken` sees each token as it comes, `onEvent` the request's
+/// identifier and how many tokens came before. Never throws.
 export async function chat(
   request: ChatRequest,
   onToken: (token: number, count: number) => void = () => undefined,
+  onEvent: (id: string, before: number) => void = () => undefined,
 ): Promise<ChatOutcome> {
   const tokens: number[] = [];
   let status = 0;
@@ -41,10 +43,14 @@
         ended = true;
         return;
       }
-      const chunk = JSON.parse(event.data) as { choices: { delta: { token: number } }[] };
+      const chunk = JSON.parse(event.data) as {
+        id: string;
+        choices: { delta: { token: number } }[];
+      };
       const token = chunk.choices[0]?.delta.token ?? -1;
       tokens.push(token);
       resumeToken = event.id ?? "";
+      onEvent(chunk.id, tokens.length - 1);
       onToken(token, tokens.length);
     },
   });
