Make control traffic fit: digests, one prober a target, prefix homes

Cause: at rest a daemon took 7 to 10% of a core and, with eleven peers, 182 kB a second; each target cost 0.1% of a core and 1.3 kB a second in a deployment of three. Every fact travelled over every exchange, each target had two probers, and facts were parsed again for every target and second. Known prefixes were noted by each entry VM alone and never forgotten, so late events made choices worse than two at random.

Change: a peer says how far it has come with each owner and is sent only what is newer; load reports travel in one fact an owner; one entry VM asks a target and the others step in by rank when it falls silent; live peers are worked out four times a second. A prompt's prefix has a home replica by rendezvous hashing, and a cached prefix counts twice its own saving, since a miss delays the target's other answers as well. The stand-in engine runs eight positions of a prompt in the time of one new token.

Ruled out: cursors per peer with the teller left out, which still sent each fact about eight times (45 kB a second with eleven peers).

--- a/packages/bench/src/control.ts
+++ b/packages/bench/src/control.ts
@@ -190,10 +190,10 @@
     overSizes("prefix index, memory over keys", "bytes", [10_000, 40_000, 120_000], (size) =>
       memoryOf(() => {
         const index = new PrefixIndex();
-        for (let key = 0; key < size; key += 1) {
-          index.note(`target-${key % 150}`, [
-            createHash("sha1").update(String(key)).digest("base64url").slice(0, 16),
-          ]);
+        for (let place = 0; place < size; place += 1) {
+          const key = createHash("sha1").update(String(place)).digest("base64url").slice(0, 16);
+          const sequence = Math.floor(place / 150) + 1;
+          index.record(`target-${place % 150}`, [{ sequence, kind: "stored", key }]);
         }
         return index;
       }),
--- a/packages/daemon/src/chat-completion.ts
+++ b/packages/daemon/src/chat-completion.ts
@@ -9,7 +9,7 @@
 } from "@lovagebend/common";
 import { Priority, type Admission } from "@lovagebend/limits";
 import { runAnswer, type AnswerToken, type ResumePosition } from "@lovagebend/pipeline";
-import { prefixKeys } from "@lovagebend/routing";
+import { blockTokens, prefixCredit, prefixHomes, prefixKeys } from "@lovagebend/routing";
 import { RouteKind, type SettingsView } from "@lovagebend/settings";
 import type http from "node:http";
 import { z } from "zod";
@@ -19,7 +19,6 @@
 const largestBodyBytes = 1024 * 1024;
 const interactiveRank = 10;
 const backgroundRank = 0;
-const millisecondsPerSecond = 1_000;
 
 const chatRequest = z.object({
   model: z.string(),
@@ -208,13 +207,15 @@
 function answerOptions(router: Router, caller: CallerRequest, prepared: Prepared) {
   const { group, promptTokens } = prepared;
   const keys = prefixKeys(promptTokens);
+  const homes = prefixHomes(keys.at(-1) ?? "", router.fleet.view.serving(group));
   router.retries.earn();
   return {
     clock: router.clock,
     candidates: () => router.fleet.view.serving(group),
     penalty: (target: { readonly name: string; readonly tokensPerSecond: number }) => {
-      const cached = Math.min(promptTokens.length, router.prefixes.cachedTokens(target.name, keys));
-      return (-cached * millisecondsPerSecond) / target.tokensPerSecond;
+      const known = router.prefixes.cachedTokens(target.name, keys);
+      const cached = homes.has(target.name) ? keys.length * blockTokens : known;
+      return prefixCredit(cached, target, prepared.body.max_tokens);
     },
     channel: (target: string) => router.engines.channel(target),
     control: (target: string) => router.engines.control(target),
@@ -224,7 +225,6 @@
     },
     noteOpen: (target: string, change: 1 | -1) => {
       router.fleet.noteOpen(target, change);
-      if (change === 1) router.prefixes.note(target, keys);
     },
     mayReplace: () => router.retries.spend(),
     onReplaced: (event: { readonly lost: string; readonly reason: string }) => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -52,7 +52,7 @@
 
 const platformTimeout: Milliseconds = 1_500;
 const engineTimeout: Milliseconds = 1_000;
-const adaptPause: Milliseconds = 500;
+const adaptPause: Milliseconds = 1_000;
 const leaseDuration: Milliseconds = 10_000;
 const leaseGrace: Milliseconds = 2_000;
 const backlogPatience: Milliseconds = 10_000;
--- a/packages/daemon/src/peer-protocol.ts
+++ b/packages/daemon/src/peer-protocol.ts
@@ -4,18 +4,13 @@
 import { SettingsState } from "@lovagebend/settings";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
 import { z } from "zod";
-import { gossipEntries } from "@lovagebend/membership";
+import { gossipDigest, gossipEntries, type GossipDigest } from "@lovagebend/membership";
 import type { Neighbourhood } from "@lovagebend/membership";
 import type { SettingsKeeper } from "@lovagebend/settings";
 import type { PeerAddress } from "./start-up-file.js";
 
-const gossipRequest = z.object({ since: z.number().int(), entries: gossipEntries });
-const gossipReply = z.object({
-  incarnation: z.number(),
-  cursor: z.number().int(),
-  entries: gossipEntries,
-  revision: z.number().int(),
-});
+const gossipRequest = z.object({ digest: gossipDigest });
+const gossipReply = z.object({ entries: gossipEntries, revision: z.number().int() });
 const settingsRequest = z.object({ since: z.number().int() });
 const settingsReply = z.object({
   revision: z.number().int(),
@@ -46,15 +41,9 @@
 ): JSONRPCServer {
   const server = new JSONRPCServer();
   server.addMethod("gossip", (parameters: unknown): GossipReply => {
-    const request = gossipRequest.parse(parameters);
-    neighbourhood.take(request.entries);
-    const delta = neighbourhood.gossip.since(request.since, now());
-    return {
-      incarnation: neighbourhood.incarnation,
-      cursor: delta.cursor,
-      entries: [...delta.entries],
-      revision: settings.state.revision,
-    };
+    const { digest } = gossipRequest.parse(parameters);
+    const entries = neighbourhood.gossip.newerThan(digest, now());
+    return { entries, revision: settings.state.revision };
   });
   server.addMethod("settings", (parameters: unknown) => {
     const { since } = settingsRequest.parse(parameters);
@@ -93,8 +82,9 @@
     });
   }
 
-  gossip(since: number, entries: unknown): Promise<GossipReply | undefined> {
-    return this.call("gossip", { since, entries }, gossipReply);
+  /// The facts that the peer has and this entry VM lacks, and the peer's revision.
+  gossip(digest: GossipDigest): Promise<GossipReply | undefined> {
+    return this.call("gossip", { digest }, gossipReply);
   }
 
   /// The peer's state, or the changes that lead from `known` to it.
--- a/packages/daemon/src/tasks.ts
+++ b/packages/daemon/src/tasks.ts
@@ -19,7 +19,7 @@
 import type { PeerClient } from "./peer-protocol.js";
 import type { SettingsKeeper } from "@lovagebend/settings";
 
-const gossipPause: Milliseconds = 500;
+const gossipPause: Milliseconds = 1_000;
 const probePause: Milliseconds = 1_000;
 const probeTimeout: Milliseconds = 500;
 const listPause: Milliseconds = 2_000;
@@ -33,8 +33,8 @@
   leaving: z.boolean(),
 });
 
-/// Exchanges facts with one peer in the rounds in which it is its turn, and fetches
-/// its settings when they are later.
+/// Asks one peer for what is new in the rounds in which it is its turn, and fetches its
+/// settings when they are later.
 export async function followPeer(
   peer: PeerClient,
   peers: { readonly local: readonly string[]; readonly remote: readonly string[] },
@@ -43,31 +43,20 @@
   clock: Clock,
   signal: AbortSignal,
 ): Promise<void> {
-  let incarnation = 0;
-  let received = 0;
-  let sent = 0;
   for (let round = 0; !signal.aborted; round += 1) {
     if (gossipPeers(round, peers.local, peers.remote).includes(peer.address.name)) {
-      const delta = neighbourhood.gossip.since(sent, clock.monotonic());
-      const reply = await peer.gossip(received, delta.entries);
-      if (reply !== undefined) {
-        const restarted = reply.incarnation !== incarnation;
-        incarnation = reply.incarnation;
-        received = restarted ? 0 : reply.cursor;
-        sent = restarted ? 0 : delta.cursor;
-        neighbourhood.take(reply.entries);
-        if (reply.revision > settings.state.revision) {
-          const state = await peer.settings(settings.state);
-          if (state !== undefined) settings.adopt(state);
-        }
+      const reply = await peer.gossip(neighbourhood.gossip.digest());
+      if (reply !== undefined) neighbourhood.take(reply.entries);
+      if (reply !== undefined && reply.revision > settings.state.revision) {
+        const state = await peer.settings(settings.state);
+        if (state !== undefined) settings.adopt(state);
       }
     }
     await clock.sleep(gossipPause, signal);
   }
 }
 
-/// Asks one target for its load when that is this entry VM's duty, or when nobody
-/// has heard of the target lately.
+/// Asks one target for its load when that is this entry VM's duty.
 export async function probeTarget(
   name: string,
   target: TargetSettings,
@@ -83,28 +72,25 @@
   signal: AbortSignal,
 ): Promise<void> {
   const { self, dataCentre, fleet, neighbourhood, engines, prefixes, clock } = surroundings;
-  const url = `http://${target.host}:${target.port}/v1/load`;
+  const url = { host: target.host, port: target.port, path: "/v1/load" };
   while (!signal.aborted) {
-    const duty =
-      target.dataCentre === dataCentre && isProber(self, name, neighbourhood.liveLocal());
-    if (duty || fleet.isUnheard(name)) {
+    const candidates = target.dataCentre === dataCentre ? neighbourhood.liveLocal() : [];
+    if (isProber(self, name, candidates, fleet.silence(name))) {
       const sentAt = clock.monotonic();
       const answer = await exchangeJsonRepeatable({ url, method: "GET", timeout: probeTimeout });
       const latency = clock.monotonic() - sentAt;
       const load = answer.isOk ? validate(loadSchema, answer.value.body) : undefined;
-      if (load?.isOk === true) {
-        fleet.answered(name, load.value, latency, 0);
-        neighbourhood.stateLoad(name, { load: load.value, latency });
-      } else {
-        fleet.failed(name);
+      fleet.noteProbe(name, load?.isOk === true ? { load: load.value, latency } : undefined);
+      if (target.kind === TargetKind.Engine) {
+        const events = await engines.control(name)?.cacheEvents(prefixes.sequence(name));
+        if (events?.isOk === true) prefixes.record(name, events.value);
       }
-    }
-    if (duty && target.kind === TargetKind.Engine) {
-      const events = await engines.control(name)?.cacheEvents(prefixes.sequence(name));
-      if (events?.isOk === true) prefixes.record(name, events.value);
+    } else {
+      fleet.forgetProbe(name);
     }
     await clock.sleep(probePause, signal);
   }
+  fleet.forgetProbe(name);
 }
 
 /// Reads the platform's list of VMs.
--- a/packages/exploration/src/membership-scenario.ts
+++ b/packages/exploration/src/membership-scenario.ts
@@ -40,7 +40,7 @@
 const runTime: Milliseconds = 40_000;
 const tick: Milliseconds = 500;
 const probePause: Milliseconds = 1_000;
-const gossipPause: Milliseconds = 500;
+const gossipPause: Milliseconds = 1_000;
 const listPause: Milliseconds = 2_000;
 const silent: Logger = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const nothing: Span = { from: 0, until: 0 };
@@ -102,26 +102,27 @@
   const probe = async (self: EntryVm): Promise<void> => {
     while (!end.signal.aborted) {
       for (const target of targetNames) {
-        const duty = isProber(self.name, target, self.neighbourhood.liveLocal());
-        if (!duty && !self.fleet.isUnheard(target)) continue;
+        const silence = self.fleet.silence(target);
+        if (!isProber(self.name, target, self.neighbourhood.liveLocal(), silence)) {
+          self.fleet.forgetProbe(target);
+          continue;
+        }
         const leaving =
           faults.tellsItself && target === leavingTarget && world.now >= faults.leavingAt;
         const load = { queuedTokens: 0, openSequences: 0, tokensPerSecond: 0, leaving };
-        self.fleet.answered(target, load, 1, 0);
-        self.neighbourhood.stateLoad(target, { load, latency: 1 });
+        self.fleet.noteProbe(target, { load, latency: 1 });
       }
       await world.after(self.process, probePause);
     }
   };
   const gossip = async (self: EntryVm, peer: EntryVm): Promise<void> => {
-    let cursor = 0;
     while (!end.signal.aborted) {
       self.neighbourhood.stateSelf(false, {});
       if (canReachPeers(self) && canReachPeers(peer)) {
-        const delta = peer.neighbourhood.gossip.since(cursor, world.now);
+        const digest = self.neighbourhood.gossip.digest();
+        const entries = peer.neighbourhood.gossip.newerThan(digest, world.now);
         await world.after(self.process, 1 + world.draw(200));
-        cursor = delta.cursor;
-        self.neighbourhood.take(delta.entries);
+        self.neighbourhood.take(entries);
       }
       await world.after(self.process, gossipPause);
     }
--- a/packages/limits/src/admission-queue.ts
+++ b/packages/limits/src/admission-queue.ts
@@ -88,7 +88,8 @@
     const now = this.clock.monotonic();
     if (this.waiting.length === 0 && this.fits(request)) return Result.ok(this.start(request, 0));
     const expected = this.expectedWait(request);
-    if (expected > this.longestWait * waitingShare) return Result.err(refusal(ErrorKind.QueueFull, expected));
+    if (expected > this.longestWait * waitingShare)
+      return Result.err(refusal(ErrorKind.QueueFull, expected));
     if (now + expected >= request.deadline) {
       return Result.err(refusal(ErrorKind.DeadlineUnreachable, expected));
     }
--- a/packages/membership/src/fleet-tracker.ts
+++ b/packages/membership/src/fleet-tracker.ts
@@ -1,9 +1,10 @@
 //! What this entry VM knows of each target, from its own calls, from peers and from
 //! the platform's list, and the view that routing gets of it.
 import type { Clock, Milliseconds } from "@lovagebend/common";
+import type { LoadValue } from "./facts.js";
 import { StepMeter } from "./step-meter.js";
 import { FleetView, TargetState, type LoadReport, type TargetView } from "./fleet-view.js";
-import { isEvidenceFresh, judgeTarget } from "./target-evidence.js";
+import { judgeTarget } from "./target-evidence.js";
 import { ListedState, type MachineList } from "@lovagebend/platform";
 import { TargetKind, type SettingsView, type TargetSettings } from "@lovagebend/settings";
 
@@ -13,6 +14,7 @@
   answeredAt: Milliseconds | undefined;
   latency: Milliseconds;
   failures: number;
+  isDoubtful: boolean;
   readonly meter: StepMeter;
   ownOpen: number;
   ownOpenAtReport: number;
@@ -74,6 +76,36 @@
     this.cached = undefined;
   }
 
+  /// What this entry VM learned by probing the target itself, for peers. Kept until
+  /// another entry VM's news of the target is fresher.
+  readonly probed = new Map<string, LoadValue>();
+
+  /// Takes in what a target's prober told, `age` ago. Where its calls fail this entry VM
+  /// looks for itself, since the prober may be cut off from the target.
+  heard(name: string, { load, latency, failures }: LoadValue, age: Milliseconds): void {
+    const target = this.tracked.get(name);
+    if (target === undefined) return;
+    target.isDoubtful = failures > 0;
+    if (failures === 0) this.answered(name, load, latency, age);
+  }
+
+  /// Notes the outcome of a probe of this entry VM's own.
+  noteProbe(name: string, outcome: { load: LoadReport; latency: Milliseconds } | undefined): void {
+    if (outcome === undefined) this.failed(name);
+    else this.answered(name, outcome.load, outcome.latency, 0);
+    const target = this.tracked.get(name);
+    if (target === undefined) return;
+    target.isDoubtful = false;
+    const { load, latency, failures } = target;
+    const age = Math.round(Math.min(this.ageOf(target), staleLimit));
+    this.probed.set(name, { load, latency: Math.round(latency * 10) / 10, failures, age });
+  }
+
+  /// This entry VM no longer probes the target.
+  forgetProbe(name: string): void {
+    this.probed.delete(name);
+  }
+
   /// A call of this entry VM's own to the target failed.
   failed(name: string): void {
     const target = this.tracked.get(name);
@@ -125,10 +157,12 @@
       this.mark(name, { state: ListedState.Leaving, revision });
   }
 
-  /// Whether nobody has heard of the target lately.
-  isUnheard(name: string): boolean {
+  /// How long ago the target last answered anybody; infinite where its prober's calls
+  /// fail.
+  silence(name: string): Milliseconds {
     const target = this.tracked.get(name);
-    return target !== undefined && !isEvidenceFresh(this.ageOf(target));
+    if (target === undefined) return 0;
+    return target.isDoubtful ? Infinity : this.ageOf(target);
   }
 
   /// Whether the target finishes what it has and gets nothing new.
@@ -177,7 +211,6 @@
     const judged = judgeTarget({
       ownNotice: target.load.leaving,
       listed: this.listed.get(name)?.state,
-      lastAnswerAge: age,
       failuresSince: target.failures,
     });
     return judged === TargetState.Serving && age > staleLimit ? TargetState.Down : judged;
@@ -199,6 +232,7 @@
     answeredAt: undefined,
     latency: 1,
     failures: 0,
+    isDoubtful: false,
     meter: new StepMeter(),
     ownOpen: 0,
     ownOpenAtReport: 0,
--- a/packages/membership/src/neighbourhood.ts
+++ b/packages/membership/src/neighbourhood.ts
@@ -6,10 +6,11 @@
   demandFact,
   entryFact,
   leavingFact,
-  loadFactPrefix,
+  loadsFact,
   readFact,
+  type DemandValue,
   type EntryValue,
-  type LoadValue,
+  type LoadsValue,
 } from "./facts.js";
 import type { SettingsKeeper } from "@lovagebend/settings";
 
@@ -21,10 +22,18 @@
 
 const factLifetime: Milliseconds = 15_000;
 const liveLimit: Milliseconds = 5_000;
+const liveCacheTime: Milliseconds = 250;
+// How long an unchanged fact is left as it is.
+const entryLifetime: Milliseconds = 1_900;
+const demandLifetime: Milliseconds = 2_000;
+const leavingLifetime: Milliseconds = 3_000;
+const loadsLifetime: Milliseconds = 1_900;
 
 export class Neighbourhood {
   readonly gossip: GossipState;
   readonly incarnation: number;
+  private readonly stated = new Map<string, { text: string; at: Milliseconds }>();
+  private live: { names: readonly string[]; at: Milliseconds } | undefined;
 
   constructor(
     readonly self: string,
@@ -38,26 +47,22 @@
     this.gossip = new GossipState(self, this.incarnation, factLifetime);
   }
 
-  /// States this entry VM's own facts anew.
-  stateSelf(
-    stopping: boolean,
-    demand: Readonly<Record<string, Readonly<Record<string, number>>>>,
-  ): void {
-    const now = this.clock.monotonic();
+  /// States this entry VM's own facts anew; those that have not changed and are fresh
+  /// are left as they are.
+  stateSelf(stopping: boolean, demand: DemandValue): void {
     const value: EntryValue = {
       dataCentre: this.dataCentre,
       revision: this.settings.state.revision,
-      confirmedAge: this.settings.confirmedAge ?? null,
+      confirmedAge: roundedAge(this.settings.confirmedAge),
       stopping,
     };
-    this.gossip.state(entryFact, value, now);
-    this.gossip.state(demandFact, demand, now);
-    this.gossip.state(leavingFact, this.fleet.leavingMarks, now);
-  }
-
-  /// States what a target just answered.
-  stateLoad(target: string, value: LoadValue): void {
-    this.gossip.state(`${loadFactPrefix}${target}`, value, this.clock.monotonic());
+    this.state(entryFact, value, `${value.revision} ${String(stopping)}`, entryLifetime);
+    this.state(demandFact, demand, JSON.stringify(demand), demandLifetime);
+    const leaving = this.fleet.leavingMarks;
+    if (leaving.length > 0)
+      this.state(leavingFact, leaving, JSON.stringify(leaving), leavingLifetime);
+    const loads: LoadsValue = Object.fromEntries(this.fleet.probed);
+    if (this.fleet.probed.size > 0) this.state(loadsFact, loads, "", loadsLifetime);
   }
 
   /// Takes in a peer's facts and puts to use those that were news.
@@ -71,8 +76,10 @@
             this.settings.confirm(fact.value.revision, fact.value.confirmedAge + entry.age);
           }
           break;
-        case "load":
-          this.fleet.answered(fact.target, fact.value.load, fact.value.latency, entry.age);
+        case "loads":
+          for (const [target, load] of Object.entries(fact.value)) {
+            this.fleet.heard(target, load, load.age + entry.age);
+          }
           break;
         case "leaving":
           this.fleet.addLeaving(fact.value);
@@ -93,7 +100,15 @@
   }
 
   /// The names of the entry VMs of this data centre that are alive, in order.
-  liveLocal(): string[] {
+  liveLocal(): readonly string[] {
+    const now = this.clock.monotonic();
+    if (this.live === undefined || now - this.live.at > liveCacheTime) {
+      this.live = { names: this.findLiveLocal(), at: now };
+    }
+    return this.live.names;
+  }
+
+  private findLiveLocal(): string[] {
     const live = this.entryVms().filter(
       ({ age, dataCentre }) => age <= liveLimit && dataCentre === this.dataCentre,
     );
@@ -118,4 +133,16 @@
       }));
     });
   }
+
+  private state(key: string, value: unknown, text: string, lifetime: Milliseconds): void {
+    const now = this.clock.monotonic();
+    const before = this.stated.get(key);
+    if (before?.text === text && now - before.at < lifetime) return;
+    this.stated.set(key, { text, at: now });
+    this.gossip.state(key, value, now);
+  }
+}
+
+function roundedAge(age: Milliseconds | undefined): Milliseconds | null {
+  return age === undefined ? null : Math.round(age);
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,4 +4,5 @@
 export { chooseService } from "./choose-service.js";
 export { largestFlow, type Flow } from "./layer-flow.js";
 export { expectedDelay } from "./expected-delay.js";
-export { PrefixIndex, prefixKeys, type CacheEvent } from "./prefix-index.js";
+export { prefixCredit, prefixHomes } from "./prefix-home.js";
+export { blockTokens, PrefixIndex, prefixKeys, type CacheEvent } from "./prefix-index.js";
--- a/packages/routing/src/prefix-index.ts
+++ b/packages/routing/src/prefix-index.ts
@@ -15,7 +15,8 @@
   sequence: number;
 }
 
-const blockTokens = 16;
+/// Tokens of one block of a prompt.
+export const blockTokens = 16;
 const mostBlocks = 64;
 const mostKeysPerTarget = 4_096;
 
@@ -58,14 +59,6 @@
     trim(known.keys);
   }
 
-  /// Notes that a prompt with these prefixes was just sent to `target`, which will
-  /// store them; its own event comes late, and not to every entry VM.
-  note(target: string, keys: readonly string[]): void {
-    const known = this.of(target);
-    for (const key of keys) known.keys.add(key);
-    trim(known.keys);
-  }
-
   /// The last event seen of `target`, 0 for none.
   sequence(target: string): number {
     return this.targets.get(target)?.sequence ?? 0;
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -35,6 +35,8 @@
 const lifeSignInterval = 200;
 const reportInterval = 500;
 const largestBatch = 512;
+// Positions of a prompt run side by side, several in the time of one new token.
+const promptSpeedup = 8;
 const mostPrefixes = 2_048;
 const keptEvents = 256;
 const weightRetryPause = 200;
@@ -167,7 +169,8 @@
 
   private costOf(step: StepRequest): number {
     const cached = step.prefix === undefined ? 0 : this.prefixes.cachedTokens(step.prefix);
-    return Math.max(1, step.inputs.length - cached);
+    const positions = Math.max(1, step.inputs.length - cached);
+    return positions === 1 ? 1 : Math.ceil(positions / promptSpeedup);
   }
 
   private answer(batch: readonly Queued[]): void {
