--- a/packages/bench/src/overload.ts
+++ b/packages/bench/src/overload.ts
@@ -77,7 +77,10 @@
   const meter = { tokens: 0, interval: 0, capacity };
   const counts = { useful: 0, refused: 0, atOnce: 0, longestAge: 0, lastTrouble: 0 };
   const endOfLoad = warmUp + loadTime;
-  if (admits) model.every(adaptPause, () => { adapt(model, queue, meter, bound, counts); });
+  if (admits)
+    model.every(adaptPause, () => {
+      adapt(model, queue, meter, bound, counts);
+    });
 
   const request = async (): Promise<void> => {
     const promptTokens = 20 + draw(60);
--- a/packages/limits/src/admission-queue.ts
+++ b/packages/limits/src/admission-queue.ts
@@ -49,7 +49,7 @@
   private virtualTime = 0;
   private readonly lastFinish = new Map<string, number>();
   private workRate = 0;
-  private lastRelease: Milliseconds | undefined;
+  private lastRelease: Milliseconds = 0;
 
   /// `capacity` is the work in tokens that may run at once; `longestWait` bounds
   /// the queue's age.
@@ -128,6 +128,7 @@
   }
 
   private start(request: AdmissionRequest, waited: Milliseconds): Admission {
+    if (this.running === 0) this.lastRelease = this.clock.monotonic();
     this.running += 1;
     this.runningCost += request.cost;
     let released = false;
@@ -177,8 +178,8 @@
   // the time in which there was work.
   private measure(cost: number): void {
     const now = this.clock.monotonic();
-    const elapsed = now - (this.lastRelease ?? now);
-    this.lastRelease = this.running > 0 ? now : undefined;
+    const elapsed = now - this.lastRelease;
+    this.lastRelease = now;
     if (elapsed <= 0) return;
     const window: Milliseconds = 1_000;
     const weight = 1 - Math.exp(-elapsed / window);
--- /dev/null
+++ b/packages/limits/test/policies.test.ts
@@ -0,0 +1,49 @@
+//! Shares, retry budgets and the capacity control, as values.
+import t from "tap";
+import { nextCapacity, RetryBudget, shareOut } from "../src/index.js";
+
+t.test("busy workspaces get by weight, idle shares are lent out", (t) => {
+  const weights = new Map([
+    ["large", 3],
+    ["small", 1],
+  ]);
+  const demand = (workspace: string, entryVm: string, tokensPerSecond: number) => ({
+    workspace,
+    entryVm,
+    tokensPerSecond,
+  });
+  const busy = [demand("large", "a", 900), demand("large", "b", 900), demand("small", "a", 900)];
+  t.same(
+    [...shareOut("a", busy, weights, 400)],
+    [
+      ["large", 150],
+      ["small", 100],
+    ],
+  );
+  t.same([...shareOut("b", busy, weights, 400)], [["large", 150]]);
+  const idle = [demand("large", "b", 40), demand("small", "a", 900)];
+  t.same([...shareOut("a", idle, weights, 400)], [["small", 360]]);
+  t.end();
+});
+
+t.test("retries stay a tenth of the first tries, however many fail", (t) => {
+  const budget = new RetryBudget();
+  let retries = 0;
+  for (let request = 0; request < 10_000; request += 1) {
+    budget.earn();
+    while (budget.spend()) retries += 1;
+  }
+  t.ok(retries <= 10_000 * 0.1 + 20, `${retries} retries`);
+  t.end();
+});
+
+t.test("capacity shrinks when tokens come too slowly and grows only while work waits", (t) => {
+  const reading = { wantedInterval: 80, waiting: true, capacity: 1_000, floor: 100 };
+  t.equal(nextCapacity({ ...reading, tokenInterval: 160 }), 700);
+  t.equal(nextCapacity({ ...reading, tokenInterval: 100 }), 800);
+  t.equal(nextCapacity({ ...reading, tokenInterval: 40 }), 1_100);
+  t.equal(nextCapacity({ ...reading, tokenInterval: 40, waiting: false }), 1_000);
+  t.equal(nextCapacity({ ...reading, tokenInterval: 160, capacity: 110 }), 100);
+  t.equal(nextCapacity({ ...reading, tokenInterval: undefined }), 1_000);
+  t.end();
+});
--- /dev/null
+++ b/packages/settings/test/settings.test.ts
@@ -0,0 +1,72 @@
+//! Paths, validation and the state that only moves forward.
+import { describeIssues } from "@lovagebend/common";
+import t from "tap";
+import {
+  getAtPath,
+  mergeView,
+  parseTeamDocument,
+  setAtPath,
+  SettingsState,
+  splitPath,
+  type SettingsChange,
+} from "../src/index.js";
+
+function change(revision: number, team: string, document: unknown = {}): SettingsChange {
+  return { revision, team, author: "operator", time: "", nonce: `n${revision}`, document };
+}
+
+t.test("a fault names the path, what stands there and what is wanted", (t) => {
+  const parsed = parseTeamDocument({
+    routes: { advice: { kind: "modl" } },
+    targets: {
+      "Engine 1": {},
+      slow: { kind: "service", service: "s", host: "example.org", port: 0 },
+    },
+    workspaces: { one: { weight: -1, tokenDigest: "short", routes: [] } },
+    surprise: true,
+  });
+  t.matchSnapshot(parsed.isErr ? describeIssues(parsed.error) : "", "faults");
+  t.end();
+});
+
+t.test("subtrees are checked together", (t) => {
+  const state = SettingsState.of(2, [
+    change(1, "a", { routes: { advice: { kind: "model", pipeline: "missing" } } }),
+    change(2, "b", { routes: { advice: { kind: "service", service: "s", repeatable: true } } }),
+  ]);
+  const view = mergeView(state);
+  t.matchSnapshot(view.isErr ? describeIssues(view.error) : "", "faults");
+  t.end();
+});
+
+t.test("a state takes only what follows directly and never an earlier one", (t) => {
+  const state = SettingsState.empty.with([change(1, "a"), change(2, "b")]);
+  t.equal(state.revision, 2);
+  t.equal(state.with([change(4, "a")]).revision, 2);
+  t.equal(state.with([change(1, "a"), change(2, "b"), change(3, "a")]).revision, 3);
+  t.equal(state.later(SettingsState.of(1, [])), state);
+  t.equal(state.later(SettingsState.of(2, [])), state);
+  t.same(
+    state.changesSince(1)?.map(({ revision }) => revision),
+    [2],
+  );
+  t.equal(SettingsState.of(9, []).changesSince(3), undefined);
+  t.end();
+});
+
+t.test("paths lead into a team's subtree", (t) => {
+  t.same(splitPath("/advisory/limits/queueMilliseconds").unwrapOr(undefined), {
+    team: "advisory",
+    inner: ["limits", "queueMilliseconds"],
+  });
+  for (const wrong of ["advisory", "/", "//x", "/a//b"]) t.ok(splitPath(wrong).isErr, wrong);
+  const document = { limits: { queueMilliseconds: 5 } };
+  t.same(setAtPath(document, ["limits", "queueMilliseconds"], 7), {
+    limits: { queueMilliseconds: 7 },
+  });
+  t.same(setAtPath(document, ["limits"], undefined), {});
+  t.same(setAtPath({}, ["__proto__", "x"], 1), JSON.parse('{"__proto__":{"x":1}}'));
+  t.equal(getAtPath(document, ["toString"]), undefined);
+  t.same(document, { limits: { queueMilliseconds: 5 } });
+  t.end();
+});
