--- a/packages/claims/src/at-most-once.ts
+++ b/packages/claims/src/at-most-once.ts
@@ -49,6 +49,8 @@
   }
 }
 
+const hintSeconds = 1;
+
 async function dispatchAndSettle(
   ledger: ClaimLedger,
   key: string,
@@ -80,6 +82,6 @@
 }
 
 function refuse(kind: ErrorKind, run: RunState): Result<OnceAnswer, RouterError> {
-  const hintSeconds = 1;
-  return Result.err(new RouterError(kind, run, "", hintSeconds));
+  const isLasting = kind === ErrorKind.KeyReused || kind === ErrorKind.KeyClosed;
+  return Result.err(new RouterError(kind, run, "", isLasting ? undefined : hintSeconds));
 }
--- a/packages/daemon/src/chat-completion.ts
+++ b/packages/daemon/src/chat-completion.ts
@@ -172,7 +172,7 @@
 ): Promise<Milliseconds | undefined> {
   const sender = prepared.body.stream
     ? new EventSender(response, caller.id)
-    : new WholeSender(response, caller.id);
+    : new WholeSender(response, caller.id, router.resumeKey.resumeToken(prepared.position));
   let position = prepared.position;
   let last = router.clock.monotonic();
   let firstToken: Milliseconds | undefined;
@@ -303,11 +303,11 @@
 class WholeSender {
   private text = "";
   private readonly tokens: number[] = [];
-  private resumeToken = "";
 
   constructor(
     private readonly response: http.ServerResponse,
     private readonly id: string,
+    private resumeToken: string,
   ) {}
 
   token(token: AnswerToken, resumeToken: string): Promise<void> {
--- a/packages/exploration/test/claims.test.ts
+++ b/packages/exploration/test/claims.test.ts
@@ -105,6 +105,7 @@
       },
       seed,
       schedules,
+      false,
     );
     t.equal(result.violation, undefined, `seed ${seed}`);
   }
--- a/packages/exploration/test/membership.test.ts
+++ b/packages/exploration/test/membership.test.ts
@@ -35,6 +35,7 @@
       },
       seed,
       schedules,
+      false,
     );
     t.equal(result.violation, undefined, `seed ${seed}`);
   }
--- a/packages/exploration/test/orders.test.ts
+++ b/packages/exploration/test/orders.test.ts
@@ -25,6 +25,7 @@
       },
       seed,
       schedules,
+      false,
     );
     t.equal(result.violation, undefined, `seed ${seed}`);
   }
--- a/packages/exploration/test/pipelines.test.ts
+++ b/packages/exploration/test/pipelines.test.ts
@@ -28,6 +28,7 @@
         judgePipelines(await runPipelines(world, () => drawEngineFault(world, faultsOneIn), 2)),
       seed,
       schedules,
+      false,
     );
     t.equal(result.violation, undefined, `seed ${seed}`);
   }
--- a/packages/exploration/test/settings.test.ts
+++ b/packages/exploration/test/settings.test.ts
@@ -41,6 +41,7 @@
         ),
       seed,
       schedules,
+      false,
     );
     t.equal(result.violation, undefined, `seed ${seed}`);
   }
