--- a/tools/fails-first.mjs
+++ b/tools/fails-first.mjs
@@ -8,7 +8,10 @@
 const only = process.argv[2];
 
 function proof(test) {
-  const result = spawnSync(process.execPath, [`packages/${test}`], { encoding: "utf8", timeout: 300_000 });
+  const result = spawnSync(process.execPath, [`packages/${test}`], {
+    encoding: "utf8",
+    timeout: 300_000,
+  });
   const failed = result.stdout
     .split("\n")
     .filter((line) => /^ {0,4}not ok \d+ - /.test(line))
