Parse each subtree once and give platform duties to two entry VMs a data centre

Cause: at the target size, slopes gave 245 ms of parsing for each change of settings, 1,025 reads a second of the table service for leases of five pipelines and 205 for the list of VMs.

Change: a change of a subtree is parsed once; two entry VMs of a data centre, by rendezvous, contend for each pipeline's lease and read the list of VMs.

Worked out, not measured at that size: 80 reads a second for leases and 16 for the list. Tests of orders, settings, membership and the API pass.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -54,6 +54,7 @@
 const engineTimeout: Milliseconds = 1_000;
 const adaptPause: Milliseconds = 1_000;
 const leaseDuration: Milliseconds = 10_000;
+const orderContenders = 2;
 const leaseGrace: Milliseconds = 2_000;
 const backlogPatience: Milliseconds = 10_000;
 const backlogPause: Milliseconds = 200;
@@ -143,7 +144,13 @@
     settings.keepCurrent(file.instance, () => neighbourhood.liveLocal(), signal),
   );
   run("machine list", (signal) =>
-    followMachineList(httpMachineList(file.platformUrl, platformTimeout), fleet, clock, signal),
+    followMachineList(
+      httpMachineList(file.platformUrl, platformTimeout),
+      fleet,
+      neighbourhood,
+      clock,
+      signal,
+    ),
   );
   run("claims", (signal) => settleClaims(router.claims, clock, signal));
   run("own facts", (signal) => stateOwnFacts(router, signal));
@@ -254,7 +261,8 @@
     if (target.pipeline !== pipeline) return [];
     return [{ name, range: `${target.firstLayer}-${target.endLayer}`, ...control }];
   });
-  return { version: view.pipelines.get(pipeline)?.version, engines };
+  const contends = router.neighbourhood.hasDuty(`orders ${pipeline}`, orderContenders);
+  return { version: view.pipelines.get(pipeline)?.version, engines, contends };
 }
 
 function targetTasks(router: Router, view: SettingsView) {
--- a/packages/daemon/src/tasks.ts
+++ b/packages/daemon/src/tasks.ts
@@ -23,6 +23,7 @@
 const probePause: Milliseconds = 1_000;
 const probeTimeout: Milliseconds = 500;
 const listPause: Milliseconds = 2_000;
+const listReaders = 2;
 const backlogPause: Milliseconds = 1_000;
 const rollupPause: Milliseconds = 60_000;
 
@@ -93,16 +94,20 @@
   fleet.forgetProbe(name);
 }
 
-/// Reads the platform's list of VMs.
+/// Reads the platform's list of VMs where that is this entry VM's duty; the others hear
+/// of leaving targets from it.
 export async function followMachineList(
   source: MachineListSource,
   fleet: FleetTracker,
+  neighbourhood: Neighbourhood,
   clock: Clock,
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
-    const list = await source();
-    if (list.isOk) fleet.list(list.value);
+    if (neighbourhood.hasDuty("machine list", listReaders)) {
+      const list = await source();
+      if (list.isOk) fleet.list(list.value);
+    }
     await clock.sleep(listPause, signal);
   }
 }
--- a/packages/exploration/src/orders-scenario.ts
+++ b/packages/exploration/src/orders-scenario.ts
@@ -147,7 +147,7 @@
     const takers = engines.map((engine) => taker(process, engine));
     const wanted = () => {
       freeze(process, "round");
-      return { version: wantedVersion(), engines: takers };
+      return { version: wantedVersion(), engines: takers, contends: true };
     };
     await world.after(process, index * 100);
     await reconcileVersions(lease, wanted, clock, silent, end.signal);
--- a/packages/membership/src/neighbourhood.ts
+++ b/packages/membership/src/neighbourhood.ts
@@ -1,5 +1,5 @@
 //! What this entry VM knows of the others: facts from gossip, put to use.
-import type { Clock, Milliseconds } from "@lovagebend/common";
+import { rendezvousOrder, type Clock, type Milliseconds } from "@lovagebend/common";
 import { GossipState, type GossipEntry } from "./gossip-state.js";
 import type { FleetTracker } from "./fleet-tracker.js";
 import {
@@ -108,6 +108,11 @@
     return this.live.names;
   }
 
+  /// Whether this entry VM is one of the `count` of its data centre that see to `duty`.
+  hasDuty(duty: string, count: number): boolean {
+    return rendezvousOrder(duty, this.liveLocal()).slice(0, count).includes(this.self);
+  }
+
   private findLiveLocal(): string[] {
     const live = this.entryVms().filter(
       ({ age, dataCentre }) => age <= liveLimit && dataCentre === this.dataCentre,
--- a/packages/orders/src/reconcile.ts
+++ b/packages/orders/src/reconcile.ts
@@ -12,11 +12,12 @@
   order(fencingNumber: number, version: string): Promise<Result<Unit, string>>;
 }
 
-/// What is wanted now: the version, `undefined` when there is none to order, and the
-/// engines that should have it.
+/// What is wanted now: the version, `undefined` when there is none to order, the engines
+/// that should have it, and whether this entry VM contends for the lease.
 export interface WantedVersion {
   readonly version: string | undefined;
   readonly engines: readonly OrderTaker[];
+  readonly contends: boolean;
 }
 
 const roundPause: Milliseconds = 2_000;
@@ -33,8 +34,8 @@
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
-    await lease.attend();
-    const { version, engines } = wanted();
+    const { version, engines, contends } = wanted();
+    if (contends || lease.fencingNumber() !== undefined) await lease.attend();
     if (version !== undefined && lease.fencingNumber() !== undefined) {
       await orderRound(lease, version, engines, logger);
     }
--- a/packages/settings/src/settings-view.ts
+++ b/packages/settings/src/settings-view.ts
@@ -1,7 +1,7 @@
 //! The merged view of all teams' subtrees, which a daemon works from.
 import type { ValidationIssue } from "@lovagebend/common";
 import { Result } from "true-myth";
-import type { SettingsState } from "./settings-state.js";
+import type { SettingsChange, SettingsState } from "./settings-state.js";
 import {
   parseTeamDocument,
   RouteKind,
@@ -33,12 +33,24 @@
 /// subtree refers to exists in some subtree. All faults are returned at once.
 export function mergeView(state: SettingsState): Result<SettingsView, ValidationIssue[]> {
   const merge = new Merge();
-  for (const change of state.teams.values()) merge.add(change.team, change.document);
+  for (const change of state.teams.values()) merge.add(change.team, parsedOnce(change));
   merge.checkReferences();
   if (merge.issues.length > 0) return Result.err(merge.issues);
   return Result.ok(merge.view(state.revision));
 }
 
+type ParsedDocument = ReturnType<typeof parseTeamDocument>;
+const parsedDocuments = new WeakMap<SettingsChange, ParsedDocument>();
+
+// A change is never altered, so each is parsed once however many follow in other teams.
+function parsedOnce(change: SettingsChange): ParsedDocument {
+  const known = parsedDocuments.get(change);
+  if (known !== undefined) return known;
+  const parsed = parseTeamDocument(change.document);
+  parsedDocuments.set(change, parsed);
+  return parsed;
+}
+
 class Merge {
   readonly issues: ValidationIssue[] = [];
   private readonly routes = new Map<string, RouteSettings>();
@@ -49,8 +61,7 @@
   private readonly owners = new Map<string, string>();
   private limits = defaultLimits;
 
-  add(team: string, document: unknown): void {
-    const parsed = parseTeamDocument(document);
+  add(team: string, parsed: ParsedDocument): void {
     if (parsed.isErr) {
       for (const issue of parsed.error) {
         this.issues.push({ ...issue, path: `/${team}${issue.path}` });
