--- a/packages/exploration/src/orders-scenario.ts
+++ b/packages/exploration/src/orders-scenario.ts
@@ -27,13 +27,14 @@
   readonly freeze: (moment: "round" | "order", holder: string) => Milliseconds;
   readonly orderAnswerLost: () => boolean;
   readonly clockRates: readonly number[];
+  readonly loadTime: Milliseconds;
 }
 
 const names = ["entry-a", "entry-b", "entry-c"];
 const duration: Milliseconds = 10_000;
 const grace: Milliseconds = 2_000;
 const runTime: Milliseconds = 120_000;
-const loadTime: Milliseconds = 3_000;
+const drawnLoadTimes: readonly Milliseconds[] = [3_000, 100];
 const longestFreeze: Milliseconds = 40_000;
 const changeTimes: readonly Milliseconds[] = [5_000, 45_000];
 // Clocks that drift apart by a twentieth of the lease; the grace covers a fifth.
@@ -45,6 +46,7 @@
     freeze: () => (world.happens(oneIn) ? world.draw(longestFreeze) : 0),
     orderAnswerLost: () => world.happens(oneIn),
     clockRates: names.map(() => drawnRates[world.draw(drawnRates.length)] ?? 1),
+    loadTime: drawnLoadTimes[world.draw(drawnLoadTimes.length)] ?? 0,
   };
 }
 
@@ -60,6 +62,7 @@
     readonly checks: boolean,
     private readonly world: World,
     private readonly process: FakeProcess,
+    private readonly loadTime: Milliseconds,
   ) {}
 
   take(number: number, version: string): boolean {
@@ -77,7 +80,7 @@
     this.loading = version;
     this.loads += 1;
     this.world.note(`${this.name}: loads ${version}`);
-    await this.world.after(this.process, loadTime);
+    await this.world.after(this.process, this.loadTime);
     if (this.loading !== version) return;
     this.version = version;
     this.loading = null;
@@ -93,7 +96,7 @@
     isOut: () => false,
   });
   const engines = ["engine-1", "engine-2", "engine-3"].map(
-    (name, index) => new FakeOrderEngine(name, index !== 2, world, platform),
+    (name, index) => new FakeOrderEngine(name, index !== 2, world, platform, faults.loadTime),
   );
   const wantedVersion = (): string =>
     `v${1 + changeTimes.filter((changeTime) => changeTime <= world.now).length}`;
--- a/packages/exploration/test/orders.test.ts
+++ b/packages/exploration/test/orders.test.ts
@@ -14,6 +14,7 @@
   freeze: () => 0,
   orderAnswerLost: () => false,
   clockRates: [1, 1, 1],
+  loadTime: 3_000,
 };
 
 t.test("orders never go back to an earlier holder's number", async (t) => {
@@ -71,6 +72,24 @@
   }
 });
 
+t.test("a holder wakes just before its lease ends: nobody else has given orders yet", async (t) => {
+  const freeze = freezeOnce("entry-a", "round", 4, 7_500);
+  const history = await runOrders(new World(), { ...noFaults, freeze, loadTime: 100 });
+  t.same(judgeOrders(history.sent, history.taken), []);
+});
+
+t.test("two failures: two holders freeze one after the other", async (t) => {
+  const freezes = [
+    freezeOnce("entry-a", "order", 1, 40_000),
+    freezeOnce("entry-b", "order", 2, 40_000),
+  ];
+  const freeze: OrdersFaults["freeze"] = (moment, holder) =>
+    Math.max(...freezes.map((once) => once(moment, holder)));
+  const history = await runOrders(new World(), { ...noFaults, freeze });
+  t.same(judgeOrders(history.sent, history.taken), []);
+  t.matchSnapshot(`${history.transcript.join("\n")}\n`, "session");
+});
+
 t.test("at most two engines load at once", async (t) => {
   const { transcript } = await runOrders(new World(), noFaults);
   const loads = transcript.filter((line) => line.includes(": loads v2"));
