--- a/packages/bench/src/fleet-model.ts
+++ b/packages/bench/src/fleet-model.ts
@@ -77,31 +77,27 @@
   }
 
   runUntil(end: Milliseconds): void {
-    for (
-      let next = this.events.peek();
-      next !== undefined && next.at <= end;
-      next = this.events.peek()
-    ) {
-      this.events.pop();
-      this.now = next.at;
-      next.run();
-    }
-    this.now = end;
+    while (this.runNext(end));
   }
 
   /// As `runUntil`, letting promises settle after each event.
   async runUntilSettled(end: Milliseconds): Promise<void> {
-    for (
-      let next = this.events.peek();
-      next !== undefined && next.at <= end;
-      next = this.events.peek()
-    ) {
-      this.events.pop();
-      this.now = next.at;
-      next.run();
+    while (this.runNext(end)) {
       for (let turn = 0; turn < turnsPerEvent; turn += 1) await Promise.resolve();
     }
-    this.now = end;
+  }
+
+  // Runs the next event up to `end`; without one, time moves to `end`.
+  private runNext(end: Milliseconds): boolean {
+    const next = this.events.peek();
+    if (next === undefined || next.at > end) {
+      this.now = end;
+      return false;
+    }
+    this.events.pop();
+    this.now = next.at;
+    next.run();
+    return true;
   }
 
   /// The emulator's time as a clock.
--- a/packages/burn/src/render.ts
+++ b/packages/burn/src/render.ts
@@ -1,4 +1,5 @@
 //! The burn report as text and as a page that needs nothing else.
+import { alignColumns } from "@lovagebend/common";
 import type { BurnLine, BurnReport } from "./burn-report.js";
 
 const barWidth = 300;
@@ -16,19 +17,11 @@
     String(line.bad),
     line.burn.toFixed(2),
   ]);
-  const widths = head.map((title, column) =>
-    Math.max(title.length, ...rows.map((row) => row[column]?.length ?? 0)),
-  );
-  const format = (row: readonly string[]): string =>
-    row
-      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
-      .join("  ")
-      .trimEnd();
   const times = Object.entries(report.percentiles).map(
     ([objective, { p50, p95, p99 }]) =>
       `${objective}: first token p50 ${p50} ms, p95 ${p95} ms, p99 ${p99} ms`,
   );
-  return [`Burn as of ${report.asOf}`, format(head), ...rows.map(format), ...times, ""].join("\n");
+  return [`Burn as of ${report.asOf}`, alignColumns(head, rows), ...times, ""].join("\n");
 }
 
 /// The report as an HTML page with a bar for each line.
--- a/packages/cli/src/settings-commands.ts
+++ b/packages/cli/src/settings-commands.ts
@@ -1,12 +1,12 @@
 //! Commands that read and change settings.
-import { describeIssues } from "@lovagebend/common";
+import { alignColumns, describeIssues } from "@lovagebend/common";
 import { getAtPath, parseTeamDocument, setAtPath, splitPath } from "@lovagebend/settings";
 import { readFile } from "node:fs/promises";
 import { CommandError, type ControlClient } from "./control-client.js";
 import { differences } from "./differences.js";
 import { ExitCode } from "./exit-code.js";
 import { waitUntilInForce } from "./in-force.js";
-import { jsonText, table, type Output } from "./output.js";
+import { jsonText, type Output } from "./output.js";
 
 export async function getSettings(
   client: ControlClient,
@@ -81,7 +81,7 @@
     author,
     time,
   ]);
-  output.print(table(["revision", "team", "author", "time"], rows));
+  output.print(alignColumns(["revision", "team", "author", "time"], rows));
   return ExitCode.Done;
 }
 
--- a/packages/cli/src/status-commands.ts
+++ b/packages/cli/src/status-commands.ts
@@ -1,10 +1,10 @@
 //! Commands that show what is going on, and the one that stops an entry VM.
 import { burnReportHtml, burnReportText } from "@lovagebend/burn";
-import { systemClock, type Milliseconds } from "@lovagebend/common";
+import { alignColumns, systemClock, type Milliseconds } from "@lovagebend/common";
 import { writeFile } from "node:fs/promises";
 import type { ControlClient } from "./control-client.js";
 import { ExitCode } from "./exit-code.js";
-import { jsonText, table, type Output } from "./output.js";
+import { jsonText, type Output } from "./output.js";
 
 const drainPause: Milliseconds = 500;
 
@@ -27,7 +27,7 @@
     revision === null ? "not heard of" : String(revision),
     age === null ? "" : `${Math.round(age)} ms ago`,
   ]);
-  output.print(table(["entry VM", "revision", "heard"], rows));
+  output.print(alignColumns(["entry VM", "revision", "heard"], rows));
   return ExitCode.Done;
 }
 
@@ -45,7 +45,7 @@
     String(load.queuedTokens),
   ]);
   const head = ["target", "group", "data centre", "state", "queued tokens"];
-  output.print(asJson ? jsonText(targets) : table(head, rows));
+  output.print(asJson ? jsonText(targets) : alignColumns(head, rows));
   return ExitCode.Done;
 }
 
@@ -63,7 +63,7 @@
     capacity.toFixed(0),
   ]);
   const head = ["group", "waiting", "oldest", "running", "capacity"];
-  output.print(asJson ? jsonText(queues) : table(head, rows));
+  output.print(asJson ? jsonText(queues) : alignColumns(head, rows));
   return ExitCode.Done;
 }
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -15,6 +15,7 @@
   JsonRequest,
   JsonResponse,
 } from "./http-exchange.js";
+export { alignColumns } from "./columns.js";
 export { createLogger } from "./logger.js";
 export type { Logger } from "./logger.js";
 export { rendezvousOrder } from "./rendezvous.js";
--- a/packages/daemon/src/tasks.ts
+++ b/packages/daemon/src/tasks.ts
@@ -8,12 +8,11 @@
   type Clock,
   type Milliseconds,
 } from "@lovagebend/common";
-import { gossipPeers, isProber } from "@lovagebend/membership";
+import { gossipPeers, isProber, loadReport } from "@lovagebend/membership";
 import type { MachineListSource, ObjectStore } from "@lovagebend/platform";
 import type { PrefixIndex } from "@lovagebend/routing";
 import type { EngineDirectory } from "@lovagebend/pipeline";
 import { TargetKind, type TargetSettings } from "@lovagebend/settings";
-import { z } from "zod";
 import type { FleetTracker } from "@lovagebend/membership";
 import type { Neighbourhood } from "@lovagebend/membership";
 import type { PeerClient } from "./peer-protocol.js";
@@ -27,13 +26,6 @@
 const backlogPause: Milliseconds = 1_000;
 const rollupPause: Milliseconds = 60_000;
 
-const loadSchema = z.object({
-  queuedTokens: z.number().min(0),
-  openSequences: z.number().min(0),
-  tokensPerSecond: z.number().min(0),
-  leaving: z.boolean(),
-});
-
 /// Asks one peer for what is new in the rounds in which it is its turn, and fetches its
 /// settings when they are later.
 export async function followPeer(
@@ -80,7 +72,7 @@
       const sentAt = clock.monotonic();
       const answer = await exchangeJsonRepeatable({ url, method: "GET", timeout: probeTimeout });
       const latency = clock.monotonic() - sentAt;
-      const load = answer.isOk ? validate(loadSchema, answer.value.body) : undefined;
+      const load = answer.isOk ? validate(loadReport, answer.value.body) : undefined;
       fleet.noteProbe(name, load?.isOk === true ? { load: load.value, latency } : undefined);
       if (target.kind === TargetKind.Engine) {
         const events = await engines.control(name)?.cacheEvents(prefixes.sequence(name));
--- a/packages/membership/src/facts.ts
+++ b/packages/membership/src/facts.ts
@@ -1,5 +1,6 @@
 //! The facts that entry VMs state to each other, and how they are checked when they
 //! arrive.
+import { loadReport } from "./fleet-view.js";
 import type { GossipEntry } from "./gossip-state.js";
 import { z } from "zod";
 
@@ -16,12 +17,7 @@
   stopping: z.boolean(),
 });
 const loadValue = z.object({
-  load: z.object({
-    queuedTokens: z.number().min(0),
-    openSequences: z.number().min(0),
-    tokensPerSecond: z.number().min(0),
-    leaving: z.boolean(),
-  }),
+  load: loadReport,
   latency: z.number().min(0),
   age: z.number().min(0),
   failures: z.number().int().min(0),
--- a/packages/membership/src/fleet-view.ts
+++ b/packages/membership/src/fleet-view.ts
@@ -1,6 +1,7 @@
 //! What an entry VM knows of the targets at one moment: an immutable value that
 //! routing decisions are made from.
 import type { Milliseconds } from "@lovagebend/common";
+import { z } from "zod";
 
 /// `Serving` targets get new work; `Leaving` ones finish what they have; `Down`
 /// ones get nothing.
@@ -12,12 +13,13 @@
 
 /// What a target said of itself. `queuedTokens` is work waiting on it; `openSequences`
 /// how many it holds; `tokensPerSecond` what it did lately. `leaving` is its own notice.
-export interface LoadReport {
-  readonly queuedTokens: number;
-  readonly openSequences: number;
-  readonly tokensPerSecond: number;
-  readonly leaving: boolean;
-}
+export type LoadReport = z.output<typeof loadReport>;
+export const loadReport = z.object({
+  queuedTokens: z.number().min(0),
+  openSequences: z.number().min(0),
+  tokensPerSecond: z.number().min(0),
+  leaving: z.boolean(),
+});
 
 /// A target as routing sees it. Layers run from `firstLayer` up to, not
 /// including, `endLayer`. `latency` is the round trip of a probe;
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,12 @@
 //! Which targets and entry VMs there are, what state they are in, and how the
 //! entry VMs tell each other.
-export { FleetView, TargetState, type LoadReport, type TargetView } from "./fleet-view.js";
+export {
+  FleetView,
+  loadReport,
+  TargetState,
+  type LoadReport,
+  type TargetView,
+} from "./fleet-view.js";
 export { judgeTarget, type TargetEvidence } from "./target-evidence.js";
 export { GossipState, type GossipDigest, type GossipEntry } from "./gossip-state.js";
 export { gossipPeers, isProber } from "./duties.js";
--- a/packages/pipeline/src/engine-control.ts
+++ b/packages/pipeline/src/engine-control.ts
@@ -1,16 +1,11 @@
 //! What an engine offers beside its step channel: tokens of a text, export and
 //! import of a key/value cache, load reports, cache events, orders and state.
 import { exchangeJsonRepeatable, validate, type Milliseconds } from "@lovagebend/common";
+import { loadReport, type LoadReport } from "@lovagebend/membership";
 import { Result, type Unit } from "true-myth";
 import { z } from "zod";
 import type { EngineAddress } from "./engine-channel.js";
 
-const loadSchema = z.object({
-  queuedTokens: z.number().min(0),
-  openSequences: z.number().min(0),
-  tokensPerSecond: z.number().min(0),
-  leaving: z.boolean(),
-});
 const stateSchema = z.object({ version: z.string().nullable(), loading: z.string().nullable() });
 const tokensSchema = z.object({ tokens: z.array(z.number().int()) });
 const eventsSchema = z.object({
@@ -28,7 +23,6 @@
 export type EngineState = z.output<typeof stateSchema>;
 /// An exported cache: opaque but for the number of positions it covers.
 export type ExportedCache = z.output<typeof exportSchema>;
-type EngineLoad = z.output<typeof loadSchema>;
 type EngineEvents = z.output<typeof eventsSchema>["events"];
 
 /// Moves a sequence's cache from one engine to another. The error is a reason for
@@ -40,7 +34,7 @@
 
 /// The engine's side calls. The error is a reason for people. None throws.
 export interface EngineControl extends CacheMover {
-  load(): Promise<Result<EngineLoad, string>>;
+  load(): Promise<Result<LoadReport, string>>;
   state(): Promise<Result<EngineState, string>>;
   cacheEvents(after: number): Promise<Result<EngineEvents, string>>;
   tokenize(text: string): Promise<Result<readonly number[], string>>;
@@ -69,7 +63,7 @@
   const done = (outcome: Result<unknown, string>): Result<Unit, string> =>
     outcome.andThen(() => Result.ok());
   return {
-    load: () => call("GET", "/load", undefined, loadSchema),
+    load: () => call("GET", "/load", undefined, loadReport),
     state: () => call("GET", "/state", undefined, stateSchema),
     async cacheEvents(after) {
       const answer = await call("GET", `/cache-events?after=${after}`, undefined, eventsSchema);
