Let the judge of membership know when no peer can tell

The trace shows that both its peers were cut off from everybody, so nothing that knew of the notice could reach it; the scenario looked at the entry VM's own link alone.

Change: an entry VM counts as told by peers only where a peer has its link as well; all else is as strict.

--- a/packages/exploration/src/membership-scenario.ts
+++ b/packages/exploration/src/membership-scenario.ts
@@ -139,7 +139,10 @@
     while (!end.signal.aborted) {
       for (const target of targetNames) {
         const state = self.fleet.view.get(target)?.state ?? TargetState.Down;
-        const told = canReachPeers(self) || canReachPlatform(self) || faults.tellsItself;
+        // A peer that is itself cut off from the others tells nobody.
+        const hasPeer =
+          canReachPeers(self) && entryVms.some((peer) => peer !== self && canReachPeers(peer));
+        const told = hasPeer || canReachPlatform(self) || faults.tellsItself;
         seen.push({ entryVm: self.name, target, at: world.now, state, told });
         if (before.get(target) !== state) world.note(`${self.name}: ${target} ${state}`);
         before.set(target, state);
--- a/packages/exploration/test/membership.test.ts
+++ b/packages/exploration/test/membership.test.ts
@@ -66,6 +66,14 @@
       cutSpan: whole,
     },
   ],
+  [
+    "two failures: one entry VM is cut off from the platform, its peers from each other",
+    {
+      cutFromPlatform: ["north-1"],
+      cutFromPeers: ["north-2", "north-3"],
+      cutSpan: { from: 3_600, until: 23_400 },
+    },
+  ],
   [
     "two failures: the list is stale and then empty",
     { listStale: { from: 14_000, until: 20_000 }, listEmpty: { from: 20_000, until: 30_000 } },
--- a/tap-snapshots/packages/exploration/dist/test/membership.test.js.test.cjs
+++ b/tap-snapshots/packages/exploration/dist/test/membership.test.js.test.cjs
@@ -70,6 +70,19 @@
 
 `
 
+exports[`packages/exploration/dist/test/membership.test.js > TAP > two failures: one entry VM is cut off from the platform, its peers from each other > session 1`] = `
+     0  north-1: engine-1 serving
+     0  north-1: engine-2 serving
+     0  north-2: engine-1 serving
+     0  north-2: engine-2 serving
+     0  north-3: engine-1 serving
+     0  north-3: engine-2 serving
+ 10000  north-2: engine-1 leaving
+ 10000  north-3: engine-1 leaving
+ 24000  north-1: engine-1 leaving
+
+`
+
 exports[`packages/exploration/dist/test/membership.test.js > TAP > two failures: the list is empty and an entry VM is cut off from its peers > session 1`] = `
      0  north-1: engine-1 serving
      0  north-1: engine-2 serving
