Count orders by what engines accepted and look for leaving targets by name

Cause: (1) the watch built a whole view of each target on each path 25 times a second (target-book get, first in a local profile); (2) the count in a target's entry is of its writes, not of orders, so each first order was refused (76 orders for 38 engines); (3) whole zod and rxjs were bundled.

Ruled out: the path search (0.6 ms a request), logs (12.6 s without, 12.6 s with).

--- a/packages/attempts/src/stream-watch.ts
+++ b/packages/attempts/src/stream-watch.ts
@@ -1,6 +1,5 @@
 //! Watches the streams of this entry VM for targets that have fallen silent or are
 //! leaving, and has the streams led round them.
-import { ListedState } from "@lovagebend/catalog";
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { EngineAddress, EngineCalls } from "./routed-request.js";
 import { silentTargets, type WatchedStream } from "./silence.js";
@@ -18,12 +17,14 @@
 const leavingPatience: Milliseconds = 900;
 // Between two questions about the same stream, for the answer to take effect.
 const askPause: Milliseconds = 250;
+const leavingCheckPause: Milliseconds = 200;
 const silenceDoubt: Milliseconds = 1_500;
 
 export class StreamWatch {
   private readonly streams = new Map<string, ReroutableStream>();
   private readonly leavingSince = new Map<string, Milliseconds>();
   private readonly askedAt = new Map<string, Milliseconds>();
+  private leavingCheckedAt: Milliseconds = -Infinity;
 
   constructor(
     private readonly book: TargetBook,
@@ -66,6 +67,8 @@
         this.silent(stream, only, "no other stream moves there");
       else void this.ask(stream, candidates);
     }
+    if (now - this.leavingCheckedAt < leavingCheckPause) return;
+    this.leavingCheckedAt = now;
     this.checkLeaving(now);
   }
 
@@ -110,7 +113,7 @@
   }
 
   private isLeaving(name: string, now: Milliseconds): boolean {
-    if (this.book.get(name)?.state === ListedState.Ready) {
+    if (this.book.isStaying(name)) {
       this.leavingSince.delete(name);
       return false;
     }
--- a/packages/attempts/src/target-book.ts
+++ b/packages/attempts/src/target-book.ts
@@ -56,7 +56,7 @@
   /// A target's entry is new or has changed.
   list(target: ListedTarget): void {
     const before = this.listed.get(target.name);
-    if (before !== undefined && before.born > target.born) return;
+    if (before && before.born > target.born) return;
     this.lapsing.delete(target.name);
     this.listed.set(target.name, target);
     if (before === undefined || before.born !== target.born) this.evidence.delete(target.name);
@@ -101,6 +101,11 @@
     };
   }
 
+  /// Whether a target is listed and not leaving.
+  isStaying(name: string): boolean {
+    return this.listed.get(name)?.state === ListedState.Ready;
+  }
+
   /// All listed targets of a service.
   all(service: string): Target[] {
     const found: Target[] = [];
--- a/packages/catalog/src/listed-target.ts
+++ b/packages/catalog/src/listed-target.ts
@@ -13,8 +13,7 @@
 }
 
 /// `born` is the wall-clock millisecond of its start: with the same name and a later
-/// `born` it is a new process that holds nothing. `orders` counts the orders that it
-/// has accepted since then.
+/// `born` it is a new process that holds nothing.
 export interface ListedTarget {
   readonly name: string;
   readonly service: string;
@@ -24,7 +23,6 @@
   readonly state: ListedState;
   readonly born: number;
   readonly slots: number;
-  readonly orders: number;
   readonly card: string | undefined;
   readonly layers: LayerRange | undefined;
 }
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,5 +1,5 @@
 //! Structured logs: one JSON object a line, on standard error unless a sink is given.
-import { createConsola, type LogObject } from "consola";
+import { createConsola, type LogObject } from "consola/core";
 
 /// Writes an event with its fields. Fields carry the request identifier as
 /// `request` wherever there is one.
--- a/packages/entry/src/bounded-output.ts
+++ b/packages/entry/src/bounded-output.ts
@@ -1,7 +1,7 @@
 //! Log lines on standard output that never hold the process up: beyond a bound they are
 //! dropped and counted.
 import type { LogSink } from "@lovagebend/common";
-import { SonicBoom } from "sonic-boom";
+import sonicBoom from "sonic-boom";
 
 // A few seconds of logs at the heaviest load.
 const largestBacklogBytes = 1024 * 1024;
@@ -18,7 +18,7 @@
 
 /// Opens standard output.
 export function boundedOutput(): BoundedOutput {
-  const output = new SonicBoom({
+  const output = new sonicBoom.SonicBoom({
     fd: 1,
     sync: false,
     minLength: gatherBytes,
--- a/packages/entry/src/knowledge.ts
+++ b/packages/entry/src/knowledge.ts
@@ -2,14 +2,17 @@
 //! it: the store's feeds or a peer. The highest version counts, for good.
 import { TargetBook } from "@lovagebend/attempts";
 import type { RouteTable } from "@lovagebend/catalog";
+import type { Milliseconds } from "@lovagebend/common";
 import { followTable, TableReplica, type StoredRow, type TableChange } from "@lovagebend/store";
 import { Subscription } from "rxjs";
 import type { EntryPorts } from "./ports.js";
 
 // Changes of targets come in runs; gathering them saves calls to the store and costs a
 // tenth of the two seconds in which a leaving target must be heard of.
-const gatherTargets = 200;
-const gatherDocuments = 50;
+const gatherTargets: Milliseconds = 150;
+const gatherDocuments: Milliseconds = 50;
+// A third of those two seconds.
+const longestGather: Milliseconds = 650;
 
 /// The tables that peers tell each other, by their part in the router.
 export interface Replicas {
@@ -45,21 +48,27 @@
       clock,
       logger,
       gather: gatherDocuments,
+      longestGather,
     }).subscribe((change) => {
       this.take(this.replicas.document, change, (rows, from) => {
         this.takeDocuments(rows, from);
       });
     });
     subscription.add(
-      followTable({ store, table: tables.targets, clock, logger, gather: gatherTargets }).subscribe(
-        (change) => {
-          if (change.kind === "away") this.book.storeLost();
-          else this.book.storeRegained();
-          this.take(this.replicas.targets, change, (rows) => {
-            this.takeTargets(rows);
-          });
-        },
-      ),
+      followTable({
+        store,
+        table: tables.targets,
+        clock,
+        logger,
+        gather: gatherTargets,
+        longestGather,
+      }).subscribe((change) => {
+        if (change.kind === "away") this.book.storeLost();
+        else this.book.storeRegained();
+        this.take(this.replicas.targets, change, (rows) => {
+          this.takeTargets(rows);
+        });
+      }),
     );
     return subscription;
   }
--- a/packages/entry/src/place-layers.ts
+++ b/packages/entry/src/place-layers.ts
@@ -39,7 +39,7 @@
   return book
     .all(service)
     .filter(({ state }) => state === ListedState.Ready)
-    .flatMap(({ name, dataCentre, card, layers, born, orders }) =>
-      card === undefined ? [] : [{ name, dataCentre, card, layers, born, orders }],
+    .flatMap(({ name, dataCentre, card, layers, born }) =>
+      card === undefined ? [] : [{ name, dataCentre, card, layers, born }],
     );
 }
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -28,8 +28,8 @@
   place(engine: string, layers: LayerRange, expectedOrders: number): Promise<OrderOutcome>;
 }
 
-/// The engines that take part, with their counts of orders and starts.
-export type EngineView = PlacedEngine & { readonly born: number; readonly orders: number };
+/// An engine that takes part, with the start that it is in.
+export type EngineView = PlacedEngine & { readonly born: number };
 
 interface Ordered {
   readonly born: number;
@@ -37,6 +37,12 @@
   readonly at: Milliseconds;
 }
 
+/// How many orders an engine had accepted when it was last heard.
+interface OrderCount {
+  readonly born: number;
+  readonly orders: number;
+}
+
 // An order whose effect is not seen by then is read back and perhaps given again: a load
 // of the largest share takes about four seconds, and more when many load at once.
 const orderPatience: Milliseconds = 6_000;
@@ -46,6 +52,7 @@
 
 export class Placer {
   private readonly ordered = new Map<string, Ordered>();
+  private readonly counts = new Map<string, OrderCount>();
   private readonly inProgress = new Set<string>();
   private knownCount = 0;
   private changedAt: Milliseconds = 0;
@@ -85,35 +92,41 @@
   private async order(engine: EngineView, layers: LayerRange, now: Milliseconds): Promise<void> {
     this.inProgress.add(engine.name);
     this.ordered.set(engine.name, { born: engine.born, layers, at: now });
-    const outcome = await this.orders.place(engine.name, layers, engine.orders);
-    this.logger.info("layers ordered", {
-      target: engine.name,
-      layers,
-      expected: engine.orders,
-      outcome,
-    });
-    if (outcome.kind !== "begun") await this.readBack(engine, layers, now);
+    const outcome = await this.give(engine, layers, this.expectedOrders(engine));
+    if (outcome.kind !== "begun") await this.readBack(engine, layers);
     this.inProgress.delete(engine.name);
   }
 
-  // The list lags behind the engine: what it says itself decides whether the order is
-  // given again.
-  private async readBack(engine: EngineView, layers: LayerRange, now: Milliseconds): Promise<void> {
+  private async give(
+    engine: EngineView,
+    layers: LayerRange,
+    expected: number,
+  ): Promise<OrderOutcome> {
+    const outcome = await this.orders.place(engine.name, layers, expected);
+    this.logger.info("layers ordered", { target: engine.name, layers, expected, outcome });
+    if (outcome.kind === "begun")
+      this.counts.set(engine.name, { born: engine.born, orders: expected + 1 });
+    return outcome;
+  }
+
+  // An engine that has just started has accepted none.
+  private expectedOrders(engine: EngineView): number {
+    const known = this.counts.get(engine.name);
+    return known?.born === engine.born ? known.orders : 0;
+  }
+
+  // What the engine says itself decides whether the order is given again.
+  private async readBack(engine: EngineView, layers: LayerRange): Promise<void> {
     const status = await this.orders.readStatus(engine.name);
     if (status.isErr) {
       this.logger.warn("engine not readable", { target: engine.name, reason: status.error });
       return;
     }
     const { isBusy, orders, born } = status.value;
+    this.counts.set(engine.name, { born, orders });
     if (isBusy || born !== engine.born) return;
-    const again = await this.orders.place(engine.name, layers, orders);
-    this.logger.info("layers ordered again", {
-      target: engine.name,
-      layers,
-      expected: orders,
-      outcome: again,
-    });
-    if (again.kind === "begun") this.ordered.set(engine.name, { born, layers, at: now });
+    if (status.value.layers !== undefined && sameRange(status.value.layers, layers)) return;
+    await this.give(engine, layers, orders);
   }
 }
 
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -17,9 +17,10 @@
   readonly table: string;
   readonly clock: Clock;
   readonly logger: Logger;
-  /// How long changes are gathered before the next call, so that a run of them costs
-  /// one call.
+  /// How long changes are gathered before the next call, so that several cost one call.
+  /// Doubles up to `longestGather` while each call brings changes at once.
   readonly gather: Milliseconds;
+  readonly longestGather: Milliseconds;
 }
 
 // Below the 30 s that the store's interface allows, so that a silent connection shows.
@@ -47,14 +48,16 @@
 }
 
 async function follow(
-  { store, table, clock, logger, gather }: TableFollower,
+  { store, table, clock, logger, gather, longestGather }: TableFollower,
   emit: (change: TableChange) => void,
   signal: AbortSignal,
 ): Promise<void> {
   let version: number | undefined;
   let pause = firstPause;
   let isAway = false;
+  let gathering = gather;
   while (!signal.aborted) {
+    const asked = clock.monotonic();
     const outcome =
       version === undefined
         ? (await store.readTable(table)).map((range) => ({ kind: "whole" as const, ...range }))
@@ -87,6 +90,8 @@
         version = change.version;
         break;
     }
-    await clock.sleep(gather, signal);
+    const isRun = clock.monotonic() - asked < gathering;
+    gathering = isRun ? Math.min(longestGather, gathering * 2) : gather;
+    await clock.sleep(gathering, signal);
   }
 }
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -11,6 +11,8 @@
   target: "node20",
   format: "esm",
   legalComments: "none",
+  // Its modules for bundlers; the ones that Node would take cannot be cut to what is used.
+  alias: { rxjs: "./node_modules/rxjs/dist/esm/index.js" },
   // Bundled CommonJS packages call require for Node's own modules.
   banner: {
     js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
