Keep engines that have just come in reserve and repeats for those who read

Cause: a replacement starts a second before the engine it replaces is listed as leaving; it got the least-held layers, so that each leaving engine left a hole which a spare one had to fill after what passed through it had ended (up to 5 s). Refused offers of new requests had used up the repeats when streams broke.

Change: an engine is in reserve for 2.5 s and fills holes only; a request whose answer has not begun is offered 3 times at most; a stream is not given up for an offer that the repeats don't allow.

--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -70,7 +70,9 @@
   readonly engines: EngineCalls;
   readonly watch: StreamWatch;
   readonly dataCentre: string;
+  /// How many entry VMs there are, and how many of them in this data centre.
   readonly entryVmCount: () => number;
+  readonly localEntryVmCount: () => number;
   /// Writes a path as targets read it.
   readonly formatPath: (parts: readonly PathPart[], book: TargetBook) => string;
 }
--- a/packages/attempts/src/stream-answer.ts
+++ b/packages/attempts/src/stream-answer.ts
@@ -37,10 +37,13 @@
 const largestParts = 32;
 // Crossing data centres within a path puts a prompt's activations on a pipe that all
 // answers share: about 25 MB, or 25 ms of it, and as much again for those that wait.
-const crossingTime: Milliseconds = 150;
+const crossingTime: Milliseconds = 80;
 // A path that lies in another data centre as a whole costs little, but keeps that one's
 // memory from its own callers.
 const entryCrossingTime: Milliseconds = 15;
+// A caller whose answer has not begun is better off with a refusal and another try than
+// with many refusals of engines; one that is reading has only this answer.
+const largestOffersBeforeBegin = 3;
 const largestOffers = 8;
 // Callers give a stream up after two seconds without an event.
 const resumePatience: Milliseconds = 1_500;
@@ -92,6 +95,7 @@
         this.giveUp(ErrorKind.NoPath, reason);
         return;
       }
+      if (offers >= largestOffersBeforeBegin && !this.answer.hasBegun) break;
       if (offers > 0 && !this.spendRepeat()) {
         this.giveUp(ErrorKind.TargetUnreachable, "repeats are used up");
         return;
@@ -135,8 +139,16 @@
 
   private spendRepeat(): boolean {
     const { budget, clock, entryVmCount } = this.services;
-    const need = this.answer.hasBegun ? RepeatNeed.Resume : RepeatNeed.First;
-    return budget.spend(this.request.service.name, entryVmCount(), clock.monotonic(), need);
+    return budget.spend(
+      this.request.service.name,
+      entryVmCount(),
+      clock.monotonic(),
+      this.repeatNeed(),
+    );
+  }
+
+  private repeatNeed(): RepeatNeed {
+    return this.answer.hasBegun ? RepeatNeed.Resume : RepeatNeed.First;
   }
 
   // An answer that the caller is reading waits a little for layers to be placed again; one
@@ -205,14 +217,16 @@
     firstPart?: PathPart,
     avoid: readonly string[] = [],
   ): readonly PathPart[] | undefined {
-    const { book, clock, dataCentre, entryVmCount } = this.services;
+    const { book, clock, dataCentre, entryVmCount, localEntryVmCount } = this.services;
     const { model, name: service } = this.request.service;
     if (model === undefined) return undefined;
-    const sharers = Math.max(1, entryVmCount());
     const holders = book
       .serving(service)
       .filter(({ name }) => !avoid.includes(name))
-      .flatMap((target) => layerHolder(target, model, sharers, clock.monotonic()) ?? []);
+      .flatMap((target) => {
+        const sharers = target.dataCentre === dataCentre ? localEntryVmCount() : entryVmCount();
+        return layerHolder(target, model, sharers, clock.monotonic()) ?? [];
+      });
     const begin = firstPart === undefined ? undefined : book.get(firstPart.target);
     return layerPath(holders, {
       layers: model.layers,
@@ -387,9 +401,12 @@
   // Ends the offer under way, if there may be another; else the engines' own time limit
   // for what they wait for is the last hope.
   private offerElsewhere(): void {
-    const { route } = this.request;
+    const { route, service } = this.request;
+    const { budget, clock, entryVmCount } = this.services;
     const ran = this.ran + (this.hasHead ? 1 : 0);
-    if (mayRepeat(route) && ran < route.largestAttempts) this.current?.abort();
+    if (!mayRepeat(route) || ran >= route.largestAttempts) return;
+    if (!budget.has(service.name, entryVmCount(), clock.monotonic(), this.repeatNeed())) return;
+    this.current?.abort();
   }
 }
 
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -47,6 +47,7 @@
     watch,
     dataCentre: identity.dataCentre,
     entryVmCount: () => peers.count(),
+    localEntryVmCount: () => peers.liveHere(),
     formatPath: ports.formatPath,
     knowledge,
     metrics,
--- a/packages/limits/src/repeat-budget.ts
+++ b/packages/limits/src/repeat-budget.ts
@@ -36,14 +36,19 @@
   /// Whether a repeat may be sent to `service`; if so, it is counted. `entryVms` is how
   /// many share the slack.
   spend(service: string, entryVms: number, now: Milliseconds, need: RepeatNeed): boolean {
+    if (!this.has(service, entryVms, now, need)) return false;
+    recent(this.spent, service, now - this.terms.window).push(now);
+    return true;
+  }
+
+  /// Whether `spend` would allow a repeat now.
+  has(service: string, entryVms: number, now: Milliseconds, need: RepeatNeed): boolean {
     const since = now - this.terms.window;
-    const spent = recent(this.spent, service, since);
+    const spent = recent(this.spent, service, since).length;
     const earned = recent(this.earned, service, since).length;
     const slack = (this.terms.slack * spentShareOfSlack) / Math.max(1, entryVms);
     const share = need === RepeatNeed.First ? shareForFirst : 1;
-    if (spent.length + 1 > (earned * this.terms.ratio + slack) * share) return false;
-    spent.push(now);
-    return true;
+    return spent + 1 <= (earned * this.terms.ratio + slack) * share;
   }
 }
 
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -50,10 +50,14 @@
 // within a few seconds of each other.
 const settleTime: Milliseconds = 900;
 
+// Longer than from the start of a replacement to the notice of the engine it replaces.
+const reserveTime: Milliseconds = 2_500;
+
 export class Placer {
   private readonly ordered = new Map<string, Ordered>();
   private readonly counts = new Map<string, OrderCount>();
   private readonly inProgress = new Set<string>();
+  private readonly emptySince = new Map<string, Milliseconds>();
   private knownCount = 0;
   private changedAt: Milliseconds = 0;
 
@@ -71,13 +75,23 @@
     this.knownCount = engines.length;
     const isFresh = engines.every(({ layers }) => layers === undefined) && this.ordered.size === 0;
     if (isFresh && now - this.changedAt < settleTime) return;
-    const asOrdered = engines.map((engine) => this.withOrder(engine, now));
+    const asOrdered = engines.map((engine) => this.withReserve(this.withOrder(engine, now), now));
     for (const { name, layers } of planPlacement(asOrdered, model)) {
       const engine = engines.find((candidate) => candidate.name === name);
       if (engine !== undefined && !this.inProgress.has(name)) void this.order(engine, layers, now);
     }
   }
 
+  private withReserve(engine: PlacedEngine, now: Milliseconds): PlacedEngine {
+    if (engine.layers !== undefined) {
+      this.emptySince.delete(engine.name);
+      return engine;
+    }
+    const since = this.emptySince.get(engine.name) ?? now;
+    this.emptySince.set(engine.name, since);
+    return { ...engine, inReserve: now - since < reserveTime };
+  }
+
   private withOrder(engine: EngineView, now: Milliseconds): PlacedEngine {
     const ordered = this.ordered.get(engine.name);
     if (ordered === undefined) return engine;
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -7,12 +7,15 @@
 import type { LayeredModel, LayerRange } from "@lovagebend/catalog";
 import { layersThatFit } from "./room.js";
 
-/// An engine that takes part. `layers` is what it holds or is loading.
+/// An engine that takes part. `layers` is what it holds or is loading. One that is
+/// `inReserve` has just come and gets layers only where some are held by nobody: an
+/// engine that replaces another comes shortly before that one leaves.
 export interface PlacedEngine {
   readonly name: string;
   readonly dataCentre: string;
   readonly card: string;
   readonly layers: LayerRange | undefined;
+  readonly inReserve?: boolean;
 }
 
 /// What the named engine is to hold from now on.
@@ -101,7 +104,9 @@
   const empty = group
     .filter(({ layers }) => layers === undefined)
     .sort((left, right) => left.slowness / left.size - right.slowness / right.size);
-  for (const holder of empty) place(holder);
+  for (const holder of empty) {
+    if (holder.inReserve !== true || held.includes(0)) place(holder);
+  }
 
   // A hole is filled by an engine whose layers are all held by others as well.
   const movable = group.filter(({ layers }) => layers !== undefined);
--- a/packages/placement/test/planner.test.ts
+++ b/packages/placement/test/planner.test.ts
@@ -119,3 +119,24 @@
   t.notOk(planPlacement([...today, unknown], model).some(({ name }) => name === "new"));
   t.end();
 });
+
+t.test("an engine in reserve is kept for the layers that another one takes away", (t) => {
+  const placed = apply(today);
+  const spare = {
+    ...placed[3],
+    name: "north-new",
+    layers: undefined,
+    inReserve: true,
+  } as PlacedEngine;
+  t.same(planPlacement([...placed, spare], model), [], "nothing is missing");
+  const [, , gone] = placed;
+  const left = placed.filter((engine) => engine !== gone);
+  const reserve = { ...spare, card: gone?.card ?? "", dataCentre: gone?.dataCentre ?? "" };
+  const plan = planPlacement([...left, reserve], model);
+  t.same(
+    plan.map(({ name, layers }) => [name, layers]),
+    [["north-new", gone?.layers]],
+    "it takes the place of the one that left, and no other engine moves",
+  );
+  t.end();
+});
