Take silent engines for lost before their entries lapse, and keep room before copies

Ruled out: doubts (none at that time), slow orders (given within 0.2 s of the list).

Change: the entry VM that places asks engines that any entry VM doubts and counts two silences as loss, unless many are silent; a card keeps room for 50 usual answers before it holds second copies.

--- a/packages/attempts/src/stream-answer.ts
+++ b/packages/attempts/src/stream-answer.ts
@@ -13,10 +13,11 @@
   type TargetResponse,
 } from "@lovagebend/forwarding";
 import { RepeatNeed } from "@lovagebend/limits";
-import { layerPath, type PathPart } from "@lovagebend/routing";
+import { layerPath, uncoveredLayers, type PathPart } from "@lovagebend/routing";
 import type http from "node:http";
 import { layerHolder } from "./engine-cost.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
+import type { Target } from "./target-book.js";
 import type { ReroutableStream } from "./stream-watch.js";
 
 /// How one offer of the stream to a first engine ended. `hasRun` tells that the engine had
@@ -92,7 +93,7 @@
       this.assertCallerWaits();
       const path = await this.findPath();
       if (path === undefined) {
-        this.giveUp(ErrorKind.NoPath, reason);
+        this.giveUp(ErrorKind.NoPath, `${this.whyNoPath()} ${reason}`.trim());
         return;
       }
       if (offers >= largestOffersBeforeBegin && !this.answer.hasBegun) break;
@@ -132,6 +133,25 @@
     this.giveUp(ErrorKind.TargetUnreachable, reason);
   }
 
+  // Names the layers that are missing, and the targets held back though they hold layers.
+  private whyNoPath(): string {
+    const { book, clock } = this.services;
+    const { name: service, model } = this.request.service;
+    const layers = model?.layers ?? 0;
+    const held = (targets: readonly Target[]) =>
+      uncoveredLayers(
+        targets.flatMap(({ layers: range }) => (range === undefined ? [] : [{ layers: range }])),
+        layers,
+      )
+        .map(({ first, end }) => `${first}-${end}`)
+        .join(" ");
+    const serving = book.serving(service).filter(({ name }) => !this.avoided.includes(name));
+    const doubted = book
+      .staying(service)
+      .filter(({ doubtedUntil }) => doubtedUntil > clock.monotonic());
+    return `layers ${held(serving)} have no holder to use; held by no staying target: ${held(book.staying(service))}; avoided ${this.avoided.join(" ")}; doubted ${doubted.map(({ name }) => name).join(" ")}.`;
+  }
+
   private mayBeOfferedAgain(): boolean {
     const { route } = this.request;
     return mayRepeat(route) && this.ran < route.largestAttempts;
--- a/packages/attempts/src/target-book.ts
+++ b/packages/attempts/src/target-book.ts
@@ -159,6 +159,14 @@
     return pause;
   }
 
+  /// The targets that get no new work at present.
+  doubted(): string[] {
+    const now = this.clock.monotonic();
+    return [...this.evidence]
+      .filter(([, { doubtedUntil }]) => doubtedUntil > now)
+      .map(([name]) => name);
+  }
+
   /// A target refused a request without running it, as one does that is full: others are
   /// preferred for a while, longer with each refusal until it does work again.
   refused(name: string): void {
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -3,7 +3,7 @@
 import { LifecycleManager, type Milliseconds } from "@lovagebend/common";
 import { TargetConnections } from "@lovagebend/forwarding";
 import { RepeatBudget } from "@lovagebend/limits";
-import { Placer } from "@lovagebend/placement";
+import { LossWatch, Placer } from "@lovagebend/placement";
 import http from "node:http";
 import { FrontServer, type FrontServices } from "./front-server.js";
 import { Knowledge } from "./knowledge.js";
@@ -97,11 +97,10 @@
   run("peers", (signal) => peers.run(signal));
   run("registration", () => peers.register(ports.store, ports.tables.entryVms));
   run("stream watch", (signal) => watch.run(signal));
+  const placer = new Placer(engines, clock, logger);
+  const losses = new LossWatch(engines, logger);
   run("placement", (signal) =>
-    placeLayers(
-      { book, knowledge, peers, placer: new Placer(engines, clock, logger), clock },
-      signal,
-    ),
+    placeLayers({ book, knowledge, peers, placer, losses, clock }, signal),
   );
   run("upkeep", async (signal) => {
     while (!signal.aborted) {
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -41,6 +41,9 @@
 }
 
 const vmFact = "vm";
+const doubtsFact = "doubts";
+// Doubts are news for as long as the shortest of them holds, and the way of the news.
+const doubtsLimit: Milliseconds = 1_500;
 const factLifetime: Milliseconds = 15_000;
 const exchangePause: Milliseconds = 400;
 const exchangeTimeout: Milliseconds = 400;
@@ -108,6 +111,14 @@
     return rendezvousOrder(duty, this.live())[0] === this.identity.name;
   }
 
+  /// The targets that any entry VM heard of lately doubts.
+  doubted(): string[] {
+    return this.gossip
+      .facts(doubtsFact, this.clock.monotonic())
+      .filter(({ age }) => age <= doubtsLimit)
+      .flatMap(({ value }) => value as string[]);
+  }
+
   /// Tells peers that this entry VM takes no more duties.
   stop(): void {
     this.isStopping = true;
@@ -215,6 +226,8 @@
 
   private stateSelf(): void {
     const now = this.clock.monotonic();
+    const doubted = this.knowledge.book.doubted();
+    if (doubted.length > 0) this.gossip.state(doubtsFact, doubted, now);
     if (now - this.statedAt < restatePause) return;
     this.statedAt = now;
     this.gossip.state(vmFact, this.ownFact(), now);
--- a/packages/entry/src/place-layers.ts
+++ b/packages/entry/src/place-layers.ts
@@ -3,7 +3,7 @@
 import type { TargetBook } from "@lovagebend/attempts";
 import { ListedState } from "@lovagebend/catalog";
 import type { Clock, Milliseconds } from "@lovagebend/common";
-import type { Placer, EngineView } from "@lovagebend/placement";
+import type { EngineView, LossWatch, Placer } from "@lovagebend/placement";
 import type { Knowledge } from "./knowledge.js";
 import type { Peers } from "./peers.js";
 
@@ -17,20 +17,31 @@
   readonly knowledge: Knowledge;
   readonly peers: Peers;
   readonly placer: Placer;
+  readonly losses: LossWatch;
   readonly clock: Clock;
 }
 
 /// Places layers while the duty is this entry VM's, until `signal` aborts.
 export async function placeLayers(
-  { book, knowledge, peers, placer, clock }: PlacementParts,
+  { book, knowledge, peers, placer, losses, clock }: PlacementParts,
   signal: AbortSignal,
 ): Promise<void> {
   await clock.sleep(listenTime, signal);
   while (!signal.aborted) {
     await clock.sleep(placementPause, signal);
     if (!peers.hasDuty(placementDuty)) continue;
-    for (const service of knowledge.routes?.services.values() ?? []) {
-      if (service.model !== undefined) placer.step(enginesOf(book, service.name), service.model);
+    const models = [...(knowledge.routes?.services.values() ?? [])].flatMap(({ name, model }) =>
+      model === undefined ? [] : [{ model, engines: enginesOf(book, name) }],
+    );
+    const names = new Set(models.flatMap(({ engines }) => engines.map(({ name }) => name)));
+    losses.keepOnly([...names]);
+    losses.ask([...book.doubted(), ...peers.doubted()].filter((name) => names.has(name)));
+    for (const { model, engines } of models) {
+      const lost = losses.lost(engines.map(({ name }) => name));
+      placer.step(
+        engines.filter(({ name }) => !lost.has(name)),
+        model,
+      );
     }
   }
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,6 +2,7 @@
 //! orders what the plan wants.
 export { planPlacement, type Placement, type PlacedEngine } from "./planner.js";
 export { layersThatFit } from "./room.js";
+export { LossWatch } from "./loss-watch.js";
 export {
   Placer,
   type EngineOrders,
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -24,9 +24,11 @@
   readonly layers: LayerRange;
 }
 
-// The room for requests on a card is the most that still leaves this many copies of the
-// model in a data centre: one whole copy, and enough over to lose a card of any kind.
+// Beside one whole copy a data centre holds enough over to lose a card of any kind, as
+// long as each card keeps room for this many answers: after losses, room goes before
+// second copies, since an engine without room refuses.
 const wantedCopies = 1.35;
+const leastAnswersRoom = 50;
 const roomStepTokens = 2_000;
 const mostRoomTokens = 200_000;
 
@@ -70,11 +72,11 @@
 }
 
 function sized(members: readonly PlacedEngine[], model: LayeredModel): Holder[] {
-  let room = 0;
-  const wanted = wantedCopies * model.layers;
-  while (room < mostRoomTokens && totalLayers(members, model, room + roomStepTokens) >= wanted) {
-    room += roomStepTokens;
-  }
+  const leastRoom = leastAnswersRoom * (model.usualPromptTokens + model.usualAnswerTokens);
+  const room = Math.max(
+    largestRoom(members, model, wantedCopies),
+    Math.min(leastRoom, largestRoom(members, model, 1)),
+  );
   return members.flatMap((engine) => {
     const card = model.cards.get(engine.card);
     const size = layersThatFit(model, engine.card, room);
@@ -82,6 +84,22 @@
   });
 }
 
+// The most room on each card with which `members` hold `copies` of the model between them.
+function largestRoom(
+  members: readonly PlacedEngine[],
+  model: LayeredModel,
+  copies: number,
+): number {
+  let room = 0;
+  while (
+    room < mostRoomTokens &&
+    totalLayers(members, model, room + roomStepTokens) >= copies * model.layers
+  ) {
+    room += roomStepTokens;
+  }
+  return room;
+}
+
 function totalLayers(engines: readonly PlacedEngine[], model: LayeredModel, room: number): number {
   return engines.reduce((sum, engine) => sum + layersThatFit(model, engine.card, room), 0);
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,4 +6,10 @@
 export { expectedDelay } from "./expected-delay.js";
 export { prefixCredit, prefixHomes } from "./prefix-home.js";
 export { blockTokens, PrefixIndex, prefixKeys, type CacheEvent } from "./prefix-index.js";
-export { layerPath, type LayerHolder, type LayerPathQuery, type PathPart } from "./layer-path.js";
+export {
+  layerPath,
+  uncoveredLayers,
+  type LayerHolder,
+  type LayerPathQuery,
+  type PathPart,
+} from "./layer-path.js";
--- a/packages/routing/src/layer-path.ts
+++ b/packages/routing/src/layer-path.ts
@@ -95,3 +95,19 @@
     });
   }
 }
+
+/// The ranges of layers that none of `holders` holds.
+export function uncoveredLayers(
+  holders: readonly Pick<LayerHolder, "layers">[],
+  layers: number,
+): readonly LayerRange[] {
+  const ranges: LayerRange[] = [];
+  let end = 0;
+  const inOrder = [...holders].sort((left, right) => left.layers.first - right.layers.first);
+  for (const { layers: held } of inOrder) {
+    if (held.first > end) ranges.push({ first: end, end: held.first });
+    end = Math.max(end, held.end);
+  }
+  if (end < layers) ranges.push({ first: end, end: layers });
+  return ranges;
+}
