Split the stream answer by concept and bound what peers may send

Cause: one file held the answer, the choice of its paths and its watch; a peer's message was read without a bound and an entry of another version could end the registration task.

Change: stream-paths and watched-offer are files of their own; peer messages are read within 8 MB; unreadable entries of entry VMs name no peer.

--- a/packages/attempts/src/stream-answer.ts
+++ b/packages/attempts/src/stream-answer.ts
@@ -13,12 +13,11 @@
   type TargetResponse,
 } from "@lovagebend/forwarding";
 import { RepeatNeed } from "@lovagebend/limits";
-import { layerPath, uncoveredLayers, type PathPart } from "@lovagebend/routing";
+import type { PathPart } from "@lovagebend/routing";
 import type http from "node:http";
-import { layerHolder } from "./engine-cost.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
-import type { Target } from "./target-book.js";
-import type { ReroutableStream } from "./stream-watch.js";
+import { StreamPaths } from "./stream-paths.js";
+import { WatchedOffer, type Reroutable } from "./watched-offer.js";
 
 /// How one offer of the stream to a first engine ended. `hasRun` tells that the engine had
 /// begun to answer.
@@ -34,14 +33,6 @@
     };
 
 const largestEventBytes = 64 * 1024;
-// The published bound on the parts of a path.
-const largestParts = 32;
-// Crossing data centres within a path puts a prompt's activations on a pipe that all
-// answers share: about 25 MB, or 25 ms of it, and as much again for those that wait.
-const crossingTime: Milliseconds = 80;
-// A path that lies in another data centre as a whole costs little, but keeps that one's
-// memory from its own callers.
-const entryCrossingTime: Milliseconds = 15;
 // A caller whose answer has not begun is better off with a refusal and another try than
 // with many refusals of engines; one that is reading has only this answer.
 const largestOffersBeforeBegin = 3;
@@ -51,11 +42,6 @@
 const resumePause: Milliseconds = 100;
 const noPathRetrySeconds = 0.5;
 const refusedRetrySeconds = 0.3;
-// A prompt of the usual size is read in well under this time.
-const firstEventPatience: Milliseconds = 400;
-const leastEventPatience: Milliseconds = 120;
-const patienceInPauses = 4;
-const pauseSmoothing = 0.2;
 
 /// Answers `request` with events. Throws a `RouterError` when nothing has been sent to the
 /// caller; afterwards a failure breaks the answer off.
@@ -67,10 +53,11 @@
   await new StreamAnswer(request, answer, services).run();
 }
 
-class StreamAnswer {
+class StreamAnswer implements Reroutable {
   private lastEvent: string | undefined;
   private path: readonly PathPart[] = [];
   private readonly avoided: string[] = [];
+  private readonly paths: StreamPaths;
   private current: AbortController | undefined;
   /// Offers on which an engine began to answer.
   private ran = 0;
@@ -82,7 +69,9 @@
     private readonly request: RoutedRequest,
     private readonly answer: CallerAnswer,
     private readonly services: AttemptServices,
-  ) {}
+  ) {
+    this.paths = new StreamPaths(request.service, services);
+  }
 
   async run(): Promise<void> {
     const { request, services } = this;
@@ -93,7 +82,7 @@
       this.assertCallerWaits();
       const path = await this.findPath();
       if (path === undefined) {
-        this.giveUp(ErrorKind.NoPath, `${this.whyNoPath()} ${reason}`.trim());
+        this.giveUp(ErrorKind.NoPath, `${this.paths.whyNone(this.avoided)} ${reason}`.trim());
         return;
       }
       if (offers >= largestOffersBeforeBegin && !this.answer.hasBegun) break;
@@ -133,25 +122,6 @@
     this.giveUp(ErrorKind.TargetUnreachable, reason);
   }
 
-  // Names the layers that are missing, and the targets held back though they hold layers.
-  private whyNoPath(): string {
-    const { book, clock } = this.services;
-    const { name: service, model } = this.request.service;
-    const layers = model?.layers ?? 0;
-    const held = (targets: readonly Target[]) =>
-      uncoveredLayers(
-        targets.flatMap(({ layers: range }) => (range === undefined ? [] : [{ layers: range }])),
-        layers,
-      )
-        .map(({ first, end }) => `${first}-${end}`)
-        .join(" ");
-    const serving = book.serving(service).filter(({ name }) => !this.avoided.includes(name));
-    const doubted = book
-      .staying(service)
-      .filter(({ doubtedUntil }) => doubtedUntil > clock.monotonic());
-    return `layers ${held(serving)} have no holder to use; held by no staying target: ${held(book.staying(service))}; avoided ${this.avoided.join(" ")}; doubted ${doubted.map(({ name }) => name).join(" ")}.`;
-  }
-
   private mayBeOfferedAgain(): boolean {
     const { route } = this.request;
     return mayRepeat(route) && this.ran < route.largestAttempts;
@@ -177,7 +147,7 @@
     const { clock } = this.services;
     const end = clock.monotonic() + (this.answer.hasBegun ? resumePatience : 0);
     for (;;) {
-      const path = this.choosePath(undefined, this.avoided);
+      const path = this.paths.choose(undefined, this.avoided);
       if (path !== undefined || clock.monotonic() >= end || this.request.signal.aborted)
         return path;
       this.avoided.length = 0;
@@ -232,34 +202,6 @@
     this.answer.end(body);
   }
 
-  // With `firstPart` the path begins with that part, which a running answer keeps.
-  private choosePath(
-    firstPart?: PathPart,
-    avoid: readonly string[] = [],
-  ): readonly PathPart[] | undefined {
-    const { book, clock, dataCentre, entryVmCount, localEntryVmCount } = this.services;
-    const { model, name: service } = this.request.service;
-    if (model === undefined) return undefined;
-    const holders = book
-      .serving(service)
-      .filter(({ name }) => !avoid.includes(name))
-      .flatMap((target) => {
-        const sharers = target.dataCentre === dataCentre ? localEntryVmCount() : entryVmCount();
-        return layerHolder(target, model, sharers, clock.monotonic()) ?? [];
-      });
-    const begin = firstPart === undefined ? undefined : book.get(firstPart.target);
-    return layerPath(holders, {
-      layers: model.layers,
-      crossingTime,
-      entryCrossingTime,
-      home: dataCentre,
-      largestParts,
-      ...(firstPart === undefined || begin === undefined
-        ? {}
-        : { firstPart: { ...firstPart, dataCentre: begin.dataCentre } }),
-    });
-  }
-
   private async offer(): Promise<StreamOutcome> {
     const { request, services } = this;
     const { book, clock, connections, names } = services;
@@ -273,7 +215,7 @@
     request.signal.addEventListener("abort", leave);
     const ends = this.path.map(({ target }) => book.begin(target, request.tokens));
     try {
-      const watched = new Watched(this, request.id, this.path, clock.monotonic());
+      const watched = new WatchedOffer(this, request.id, this.path, clock.monotonic());
       const unwatch = services.watch.add(watched);
       try {
         const reply = await sendToTarget(
@@ -315,7 +257,7 @@
   private async follow(
     reply: TargetReply,
     first: string,
-    watched: Watched,
+    watched: WatchedOffer,
   ): Promise<StreamOutcome> {
     const { book } = this.services;
     const wasAborted = this.current?.signal.aborted === true;
@@ -354,7 +296,7 @@
 
   private passOn(
     { message, failure, isDelimited }: TargetResponse,
-    watched: Watched,
+    watched: WatchedOffer,
   ): Promise<StreamOutcome> {
     const splitter = new EventSplitter(largestEventBytes);
     return new Promise((resolve) => {
@@ -392,7 +334,7 @@
 
   /// Leads the answer round the targets to avoid, by another path behind the same first
   /// engine where there is one, else by resuming elsewhere.
-  async reroute(avoid: readonly string[], reason: string, watched: Watched): Promise<void> {
+  async reroute(avoid: readonly string[], reason: string, watched: WatchedOffer): Promise<void> {
     const { book, engines, logger, formatPath, clock } = this.services;
     const firstPart = this.path[0];
     const address = firstPart === undefined ? undefined : book.get(firstPart.target);
@@ -400,7 +342,7 @@
       this.offerElsewhere();
       return;
     }
-    const path = this.choosePath(firstPart, avoid);
+    const path = this.paths.choose(firstPart, avoid);
     if (path === undefined) return;
     const changed = await engines.changePath(address, this.request.id, formatPath(path, book));
     logger.info("path changed", {
@@ -429,48 +371,3 @@
     this.current?.abort();
   }
 }
-
-// The stream as the watch sees it.
-class Watched implements ReroutableStream {
-  readonly request: string;
-  targets: readonly string[];
-  lastProgress: Milliseconds;
-  patience: Milliseconds = firstEventPatience;
-  private usualPause: Milliseconds | undefined;
-  private isRerouting = false;
-
-  constructor(
-    private readonly stream: StreamAnswer,
-    request: string,
-    path: readonly PathPart[],
-    now: Milliseconds,
-  ) {
-    this.request = request;
-    this.targets = path.map(({ target }) => target);
-    this.lastProgress = now;
-  }
-
-  progress(now: Milliseconds): void {
-    const pause = now - this.lastProgress;
-    this.lastProgress = now;
-    this.usualPause =
-      this.usualPause === undefined
-        ? 0
-        : this.usualPause + pauseSmoothing * (pause - this.usualPause);
-    this.patience = Math.max(leastEventPatience, patienceInPauses * this.usualPause);
-  }
-
-  rerouted(path: readonly PathPart[], now: Milliseconds): void {
-    this.targets = path.map(({ target }) => target);
-    this.lastProgress = now;
-    this.patience = firstEventPatience;
-  }
-
-  reroute(avoid: readonly string[], reason: string): void {
-    if (this.isRerouting) return;
-    this.isRerouting = true;
-    void this.stream.reroute(avoid, reason, this).finally(() => {
-      this.isRerouting = false;
-    });
-  }
-}
--- /dev/null
+++ b/packages/attempts/src/stream-paths.ts
@@ -0,0 +1,71 @@
+//! The paths that a stream may take at present.
+import type { ServiceProfile } from "@lovagebend/catalog";
+import type { Milliseconds } from "@lovagebend/common";
+import { layerPath, uncoveredLayers, type PathPart } from "@lovagebend/routing";
+import { layerHolder } from "./engine-cost.js";
+import type { AttemptServices } from "./routed-request.js";
+import type { Target } from "./target-book.js";
+
+// The published bound on the parts of a path.
+const largestParts = 32;
+// Crossing data centres within a path puts a prompt's activations on a pipe that all
+// answers share: about 25 MB, or 25 ms of it, and as much again for those that wait.
+const crossingTime: Milliseconds = 80;
+// A path that lies in another data centre as a whole costs little, but keeps that one's
+// memory from its own callers.
+const entryCrossingTime: Milliseconds = 15;
+
+export class StreamPaths {
+  constructor(
+    private readonly service: ServiceProfile,
+    private readonly services: AttemptServices,
+  ) {}
+
+  /// The quickest path by what is known, without the targets in `avoid`. With `firstPart`
+  /// it begins with that part, which a running answer keeps.
+  choose(
+    firstPart: PathPart | undefined,
+    avoid: readonly string[],
+  ): readonly PathPart[] | undefined {
+    const { book, clock, dataCentre, entryVmCount, localEntryVmCount } = this.services;
+    const { model, name: service } = this.service;
+    if (model === undefined) return undefined;
+    const holders = book
+      .serving(service)
+      .filter(({ name }) => !avoid.includes(name))
+      .flatMap((target) => {
+        const sharers = target.dataCentre === dataCentre ? localEntryVmCount() : entryVmCount();
+        return layerHolder(target, model, sharers, clock.monotonic()) ?? [];
+      });
+    const begin = firstPart === undefined ? undefined : book.get(firstPart.target);
+    return layerPath(holders, {
+      layers: model.layers,
+      crossingTime,
+      entryCrossingTime,
+      home: dataCentre,
+      largestParts,
+      ...(firstPart === undefined || begin === undefined
+        ? {}
+        : { firstPart: { ...firstPart, dataCentre: begin.dataCentre } }),
+    });
+  }
+
+  /// Names the layers that are missing, and the targets held back though they hold layers.
+  whyNone(avoid: readonly string[]): string {
+    const { book, clock } = this.services;
+    const { name: service, model } = this.service;
+    const layers = model?.layers ?? 0;
+    const held = (targets: readonly Target[]) =>
+      uncoveredLayers(
+        targets.flatMap(({ layers: range }) => (range === undefined ? [] : [{ layers: range }])),
+        layers,
+      )
+        .map(({ first, end }) => `${first}-${end}`)
+        .join(" ");
+    const serving = book.serving(service).filter(({ name }) => !avoid.includes(name));
+    const doubted = book
+      .staying(service)
+      .filter(({ doubtedUntil }) => doubtedUntil > clock.monotonic());
+    return `layers ${held(serving)} have no holder to use; held by no staying target: ${held(book.staying(service))}; avoided ${avoid.join(" ")}; doubted ${doubted.map(({ name }) => name).join(" ")}.`;
+  }
+}
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -1,6 +1,6 @@
 //! Puts the parts of an entry VM together, and takes them apart again when it stops.
 import { StreamWatch, TargetBook } from "@lovagebend/attempts";
-import { LifecycleManager, type Milliseconds } from "@lovagebend/common";
+import { answerFor, LifecycleManager, readBody, type Milliseconds } from "@lovagebend/common";
 import { TargetConnections } from "@lovagebend/forwarding";
 import { RepeatBudget } from "@lovagebend/limits";
 import { LossWatch, Placer } from "@lovagebend/placement";
@@ -18,6 +18,8 @@
   stop(): Promise<void>;
 }
 
+// The operator's document and all entries of targets, several times over.
+const largestPeerMessageBytes = 8 * 1024 * 1024;
 const upkeepPause: Milliseconds = 250;
 const stopCheckPause: Milliseconds = 50;
 // Kept of the time to stop, for the process itself to end.
@@ -136,9 +138,12 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): Promise<void> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
-  const reply = await peers.receive(Buffer.concat(chunks).toString("utf8"));
+  const body = await readBody(request, largestPeerMessageBytes);
+  if (body.isErr) {
+    response.writeHead(answerFor(body.error.kind).status, { connection: "close" }).end();
+    return;
+  }
+  const reply = await peers.receive(body.value.toString("utf8"));
   response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(reply));
 }
 
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -30,6 +30,8 @@
 
 // Applies until the operator's limits are known, and to the size of headers throughout.
 const largestHeaderBytes = 32 * 1024;
+// For a whole request to come in; the longest time that callers wait for an answer.
+const longestRequestTime: Milliseconds = 20_000;
 const unknownSettingsRetrySeconds = 0.5;
 // Another entry VM takes the request on the caller's next connection.
 const stoppingRetrySeconds = 0.05;
@@ -42,7 +44,7 @@
 
   constructor(private readonly services: FrontServices) {
     this.server = http.createServer(
-      { maxHeaderSize: largestHeaderBytes, noDelay: true, requestTimeout: 0 },
+      { maxHeaderSize: largestHeaderBytes, noDelay: true, requestTimeout: longestRequestTime },
       (request, response) => {
         void this.handle(request, response);
       },
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -61,7 +61,6 @@
   private readonly fromStore = new Map<string, VmFact>();
   private statedAt: Milliseconds = -Infinity;
   private isStopping = false;
-  private lastWakeUp: Milliseconds;
 
   constructor(
     private readonly identity: EntryIdentity,
@@ -71,7 +70,6 @@
   ) {
     // A later start of the same entry VM has a later wall reading.
     this.gossip = new GossipState(identity.name, clock.wall(), factLifetime);
-    this.lastWakeUp = clock.wall();
     this.server.addMethod(exchangeMethod, (message: PeerMessage) => this.answer(message));
   }
 
@@ -133,8 +131,8 @@
       this.logger.warn("entry VMs not readable in the store", { reason: known.error });
     } else {
       for (const { key, value } of known.value.rows) {
-        if (value !== undefined)
-          this.fromStore.set(key, JSON.parse(value.toString("utf8")) as VmFact);
+        const fact = value === undefined ? undefined : readVmFact(value);
+        if (fact !== undefined) this.fromStore.set(key, fact);
       }
     }
     const own = Buffer.from(JSON.stringify(this.ownFact()));
@@ -265,6 +263,17 @@
   }
 }
 
+// An entry that another version wrote, or one that cannot be read, names no peer.
+function readVmFact(value: Buffer): VmFact | undefined {
+  try {
+    const fact = JSON.parse(value.toString("utf8")) as Partial<VmFact>;
+    const isReadable = typeof fact.address === "string" && typeof fact.dataCentre === "string";
+    return isReadable ? (fact as VmFact) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 function toWire(rows: readonly StoredRow[]): WireRow[] {
   return rows.map(({ key, version, value }) => ({
     key,
