Expect a peer to pass on only a notice that it can know

Its trace: north-1 and north-2 are cut off from the platform, north-3, which reads the list, is cut off from its peers, until 10,001; north-1 and north-2 reach each other, and the judge took each for told by the other. They heard at 11,500, 1.5 s after the cut, within the promise of 5 s.

Ruled out: gossip (it brought the notice in the first exchange after the cut) and FleetTracker (it applied it at once).

Conclusion: a fault of the judge, not of the product.

--- a/packages/exploration/test/membership.test.ts
+++ b/packages/exploration/test/membership.test.ts
@@ -74,6 +74,15 @@
       cutSpan: { from: 3_600, until: 23_400 },
     },
   ],
+  [
+    "two failures: the only entry VM that reads the list is cut off from its peers",
+    {
+      leavingAt: 5_000,
+      cutFromPlatform: ["north-1", "north-2"],
+      cutFromPeers: ["north-3"],
+      cutSpan: { from: 0, until: 10_001 },
+    },
+  ],
   [
     "two failures: the list is stale and then empty",
     { listStale: { from: 14_000, until: 20_000 }, listEmpty: { from: 20_000, until: 30_000 } },
@@ -88,3 +97,22 @@
     t.matchSnapshot(`${history.transcript.join("\n")}\n`, "session");
   });
 }
+
+// Found by exploration with seed 20261204: the judge took a peer for told that was cut off
+// from the platform as well.
+t.test("a peer that cannot know of a notice is not expected to pass it on", async (t) => {
+  const faults: MembershipFaults = {
+    ...noFaults,
+    leavingAt: 5_000,
+    cutFromPlatform: ["north-1", "north-2"],
+    cutFromPeers: ["north-3"],
+    cutSpan: { from: 0, until: 10_001 },
+  };
+  const { seen } = await runMembership(new World(), faults);
+  const told = (from: number, until: number) =>
+    seen.some(
+      (item) => item.entryVm !== "north-3" && item.told && item.at >= from && item.at < until,
+    );
+  t.equal(told(5_000, 10_000), false, "nobody could tell them");
+  t.equal(told(10_500, 12_000), true, "from the end of the cut on the promise holds");
+});
--- a/tap-snapshots/packages/exploration/dist/test/membership.test.js.test.cjs
+++ b/tap-snapshots/packages/exploration/dist/test/membership.test.js.test.cjs
@@ -108,3 +108,16 @@
  10000  north-3: engine-1 leaving
 
 `
+
+exports[`packages/exploration/dist/test/membership.test.js > TAP > two failures: the only entry VM that reads the list is cut off from its peers > session 1`] = `
+     0  north-1: engine-1 serving
+     0  north-1: engine-2 serving
+     0  north-2: engine-1 serving
+     0  north-2: engine-2 serving
+     0  north-3: engine-1 serving
+     0  north-3: engine-2 serving
+  6000  north-3: engine-1 leaving
+ 11500  north-1: engine-1 leaving
+ 11500  north-2: engine-1 leaving
+
+`
