Let an engine's cost grow steeply as its memory fills

A quick card is five times as fast as the others, so that its former cost at full memory (5 times) still made it the choice. Change: the cost has a pole where memory or reading is used up. Test: 25 entry VMs and three chains; with the former cost the quick one is given 137,100 tokens of context and has memory for 116,320; now 102,277, with the others at 71,000.

--- a/packages/attempts/src/engine-cost.ts
+++ b/packages/attempts/src/engine-cost.ts
@@ -8,14 +8,10 @@
 
 // Passing on to the next engine and waiting there for the pass under way.
 const visitShareOfStep = 0.5;
-// How much more an engine costs whose memory for requests is all taken by this data
-// centre's requests: its newest request would be put back.
-const fullMemoryFactor = 4;
-
 // More than any path of a whole data centre takes: an engine that has just refused is
 // used only where no other holds its layers.
 const refusingTime: Milliseconds = 100;
-// Beyond this use of an engine's reading the estimate says no more than "full".
+// Beyond this use of an engine's reading or memory the estimate says no more than "full".
 const largestUse = 0.95;
 
 /// `target` as a part of a path. `sharers` is how many entry VMs use it about as much as
@@ -34,9 +30,10 @@
   const readTime = (share * card.readFactor * 1_000) / model.readTokensPerSecond;
   const pass = model.stepsPerPass * step + model.largestReadPerPass * readTime;
   const use = (target.readRate * sharers * pass) / model.largestReadPerPass;
-  const waiting = 1 / (1 - Math.min(largestUse, use));
   const taken = memoryTaken(target, model, card.memoryMegabytes, held, sharers);
-  const crowding = waiting * (1 + fullMemoryFactor * taken * taken);
+  // Cards differ fivefold in speed. A request that waits for memory waits for as long as
+  // an answer takes, which no speed makes good: hence the square.
+  const crowding = waiting(use) * waiting(taken) ** 2;
   return {
     name: target.name,
     dataCentre: target.dataCentre,
@@ -46,6 +43,11 @@
   };
 }
 
+// How many times longer work takes where this part of the means is in use.
+function waiting(use: number): number {
+  return 1 / (1 - Math.min(largestUse, use));
+}
+
 // Of all layers on the reference card, with the answers that are being written.
 function stepTime(target: Target, model: LayeredModel, sharers: number): Milliseconds {
   return (
