Let a few entry VMs of each data centre follow targets closely and relay them

Change: four of each data centre ask for each change; the others ask every five seconds and hear of changes from peers, who pass news on at once. What a peer tells of an entry that is gone carries the time that the entry has to come back, for those who did not see the store's outage themselves. Sites of up to four entry VMs a data centre work as before.

--- a/packages/attempts/src/target-book.ts
+++ b/packages/attempts/src/target-book.ts
@@ -47,6 +47,7 @@
 export class TargetBook {
   private readonly listed = new Map<string, ListedTarget>();
   private readonly evidence = new Map<string, Evidence>();
+  /// Until when the targets of entries that lapsed keep their places at least.
   private readonly lapsing = new Map<string, Milliseconds>();
   /// Called when a target is doubted that was not.
   onDoubt: () => void = () => undefined;
@@ -89,23 +90,36 @@
   }
 
   /// A target's entry is no longer there. While the store was away shortly before, the
-  /// target keeps its place until the entry had time to come back.
-  unlist(name: string): void {
+  /// target keeps its place until the entry had time to come back. `heardGrace` is what is
+  /// left of that time for a peer that told of it.
+  unlist(name: string, heardGrace: Milliseconds = 0): void {
     if (!this.listed.has(name)) return;
-    const now = this.clock.monotonic();
-    if (this.awaySince === undefined && now - this.backSince > lapseGrace) {
+    const grace = Math.max(this.ownGrace(), Math.min(heardGrace, lapseGrace));
+    if (grace <= 0) {
       this.forget(name);
       return;
     }
-    this.lapsing.set(name, now);
+    this.lapsing.set(name, this.clock.monotonic() + grace);
     this.logger.info("target entry lapsed", { target: name });
   }
 
   /// Gives up targets whose entries had time to come back. To be called regularly.
   expire(): void {
+    if (this.ownGrace() > 0) return;
+    const now = this.clock.monotonic();
+    for (const [name, until] of this.lapsing) if (until <= now) this.forget(name);
+  }
+
+  /// How much longer entries that lapsed have time to come back; 0 when the store has been
+  /// well for long enough.
+  graceLeft(): Milliseconds {
     const now = this.clock.monotonic();
-    if (this.awaySince !== undefined || now - this.backSince <= lapseGrace) return;
-    for (const name of this.lapsing.keys()) this.forget(name);
+    return Math.max(this.ownGrace(), ...[...this.lapsing.values()].map((until) => until - now));
+  }
+
+  private ownGrace(): Milliseconds {
+    if (this.awaySince !== undefined) return lapseGrace;
+    return Math.max(0, this.backSince + lapseGrace - this.clock.monotonic());
   }
 
   get(name: string): Target | undefined {
--- a/packages/attempts/test/target-book.test.ts
+++ b/packages/attempts/test/target-book.test.ts
@@ -68,3 +68,18 @@
   );
   t.end();
 });
+
+t.test("an entry that a peer saw lapse while the store was away has time to come back", (t) => {
+  const { book, advance } = scene();
+  book.unlist("a", 1_000);
+  t.equal(book.graceLeft(), 1_000, "which is passed on");
+  book.expire();
+  t.ok(book.get("a"), "it keeps its place");
+  advance(1_001);
+  book.expire();
+  t.equal(book.get("a"), undefined, "and is gone when that time is over");
+  book.unlist("b");
+  t.equal(book.get("b"), undefined, "without an outage an entry that is gone is gone");
+  t.equal(book.graceLeft(), 0);
+  t.end();
+});
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -22,6 +22,10 @@
 // The operator's document and all entries of targets, several times over.
 const largestPeerMessageBytes = 8 * 1024 * 1024;
 const upkeepPause: Milliseconds = 250;
+const followDuty = "follow targets";
+// Of each data centre: enough that the loss of two entry VMs, and a store that turns a
+// third of them away, leave one.
+const closeFollowers = 4;
 const stopCheckPause: Milliseconds = 50;
 // Kept of the time to stop, for the process itself to end.
 const exitReserve: Milliseconds = 400;
@@ -41,6 +45,10 @@
   book.onDoubt = () => {
     peers.hurry();
   };
+  knowledge.onNews = () => {
+    peers.hurry();
+  };
+  knowledge.followsClosely = () => peers.isAmongFirst(followDuty, closeFollowers);
   let isStopping = false;
   let refusesNew = false;
   const services: FrontServices = {
@@ -111,8 +119,12 @@
     placeLayers({ book, knowledge, peers, placer, losses, clock }, signal),
   );
   run("upkeep", async (signal) => {
+    let followedClosely = true;
     while (!signal.aborted) {
       book.expire();
+      const followsClosely = knowledge.followsClosely();
+      if (followsClosely !== followedClosely) logger.info("store feed", { followsClosely });
+      followedClosely = followsClosely;
       if (knowledge.routes !== undefined) front.limit(knowledge.routes);
       await clock.sleep(upkeepPause, signal);
     }
--- a/packages/entry/src/knowledge.ts
+++ b/packages/entry/src/knowledge.ts
@@ -3,7 +3,13 @@
 import { TargetBook } from "@lovagebend/attempts";
 import type { RouteTable } from "@lovagebend/catalog";
 import type { Milliseconds } from "@lovagebend/common";
-import { followTable, TableReplica, type StoredRow, type TableChange } from "@lovagebend/store";
+import {
+  followTable,
+  TableReplica,
+  type FeedPace,
+  type StoredRow,
+  type TableChange,
+} from "@lovagebend/store";
 import { Subscription } from "rxjs";
 import type { EntryPorts } from "./ports.js";
 
@@ -13,6 +19,10 @@
 const gatherDocuments: Milliseconds = 50;
 // A third of those two seconds.
 const longestGather: Milliseconds = 650;
+// Below the 30 s that the store's interface allows, so that a silent connection shows.
+const longestWait: Milliseconds = 10_000;
+// Of an entry VM that hears of changes from peers: the store is asked in case they do not.
+const relayedPace: FeedPace = { gather: 5_000, longestGather: 5_000, wait: 20_000 };
 
 /// The tables that peers tell each other, by their part in the router.
 export interface Replicas {
@@ -22,6 +32,11 @@
 
 export class Knowledge {
   readonly replicas: Replicas = { document: new TableReplica(), targets: new TableReplica() };
+  /// Whether this entry VM asks the store for each change of targets; the others hear of
+  /// them from peers, which saves the store most of its calls.
+  followsClosely: () => boolean = () => true;
+  /// Called when the store told of changes that peers may not know.
+  onNews: () => void = () => undefined;
   private table: RouteTable | undefined;
 
   constructor(
@@ -47,8 +62,8 @@
       table: tables.document,
       clock,
       logger,
-      gather: gatherDocuments,
-      longestGather,
+      pace: () => ({ gather: gatherDocuments, longestGather, wait: longestWait }),
+      reached: () => this.replicas.document.version,
     }).subscribe((change) => {
       this.take(this.replicas.document, change, (rows, from) => {
         this.takeDocuments(rows, from);
@@ -60,8 +75,11 @@
         table: tables.targets,
         clock,
         logger,
-        gather: gatherTargets,
-        longestGather,
+        pace: () =>
+          this.followsClosely()
+            ? { gather: gatherTargets, longestGather, wait: longestWait }
+            : relayedPace,
+        reached: () => this.replicas.targets.version,
       }).subscribe((change) => {
         if (change.kind === "away") this.book.storeLost();
         else this.book.storeRegained();
@@ -73,14 +91,20 @@
     return subscription;
   }
 
-  /// Takes in rows that a peer knows.
+  /// Takes in rows that a peer knows. `grace` is how much longer entries that are gone may
+  /// come back, by what the peer knows of the store. Returns whether there was news.
   hear(
     rows: { readonly document: readonly StoredRow[]; readonly targets: readonly StoredRow[] },
     versions: { readonly document: number; readonly targets: number },
     peer: string,
-  ): void {
-    this.takeDocuments(this.replicas.document.apply(rows.document, versions.document), peer);
-    this.takeTargets(this.replicas.targets.apply(rows.targets, versions.targets));
+    grace: Milliseconds,
+  ): boolean {
+    const documents = this.replicas.document.apply(rows.document, versions.document);
+    const targets = this.replicas.targets.apply(rows.targets, versions.targets);
+    this.takeDocuments(documents, peer);
+    // Who asks the store itself knows whether it was away.
+    this.takeTargets(targets, this.followsClosely() ? 0 : grace);
+    return documents.length > 0 || targets.length > 0;
   }
 
   private take(
@@ -92,13 +116,21 @@
       case "away":
         return;
       case "whole":
-        use(replica.applyWhole(change.rows, change.version), "store");
+        this.use(replica.applyWhole(change.rows, change.version), use);
         return;
       case "rows":
-        use(replica.apply(change.rows, change.version), "store");
+        this.use(replica.apply(change.rows, change.version), use);
     }
   }
 
+  private use(
+    news: readonly StoredRow[],
+    use: (rows: readonly StoredRow[], from: string) => void,
+  ): void {
+    use(news, "store");
+    if (news.length > 0) this.onNews();
+  }
+
   private takeDocuments(rows: readonly StoredRow[], from: string): void {
     const { tables, logger, readDocument } = this.ports;
     for (const { key, value, version } of rows) {
@@ -120,11 +152,11 @@
     }
   }
 
-  private takeTargets(rows: readonly StoredRow[]): void {
+  private takeTargets(rows: readonly StoredRow[], grace: Milliseconds = 0): void {
     const { logger, readTarget } = this.ports;
     for (const { key, value } of rows) {
       if (value === undefined) {
-        this.book.unlist(key);
+        this.book.unlist(key, grace);
         continue;
       }
       const target = readTarget(key, value);
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -32,6 +32,9 @@
   readonly versions: TableVersions;
   readonly facts: readonly GossipEntry[];
   readonly rows: { readonly document: readonly WireRow[]; readonly targets: readonly WireRow[] };
+  /// How much longer targets whose entries are gone keep their places, since the sender
+  /// knows that the store was away.
+  readonly lapseGrace: Milliseconds;
 }
 
 interface VmFact {
@@ -107,6 +110,18 @@
     return here.length + 1;
   }
 
+  /// Whether this entry VM is among the first `count` of its data centre for `duty`.
+  isAmongFirst(duty: string, count: number): boolean {
+    const here = this.heard()
+      .filter(({ age, value }) => age <= liveLimit && !value.isStopping)
+      .filter(({ value }) => value.dataCentre === this.identity.dataCentre)
+      .map(({ owner }) => owner);
+    if (here.length < count) return true;
+    return rendezvousOrder(duty, [...here, this.identity.name])
+      .slice(0, count)
+      .includes(this.identity.name);
+  }
+
   /// Whether this entry VM is the one that sees to `duty`. Each works that out alone, so
   /// that two may think so for a while.
   hasDuty(duty: string): boolean {
@@ -233,8 +248,8 @@
       document: fromWire(message.rows.document),
       targets: fromWire(message.rows.targets),
     };
-    if (rows.document.length > 0 || rows.targets.length > 0)
-      this.knowledge.hear(rows, message.versions, peer);
+    if (rows.document.length === 0 && rows.targets.length === 0) return;
+    if (this.knowledge.hear(rows, message.versions, peer, message.lapseGrace)) this.hurry();
   }
 
   private message(
@@ -253,6 +268,7 @@
         document: toWire(document.newerThan(other.versions.document)),
         targets: toWire(targets.newerThan(other.versions.targets)),
       },
+      lapseGrace: this.knowledge.book.graceLeft(),
     };
   }
 
@@ -286,7 +302,11 @@
       .map(({ owner, age, value }) => ({ owner, age, value: value as VmFact }));
   }
 
-  private heard(): { readonly age: Milliseconds; readonly value: VmFact }[] {
+  private heard(): {
+    readonly owner: string;
+    readonly age: Milliseconds;
+    readonly value: VmFact;
+  }[] {
     return this.facts().filter(({ owner }) => owner !== this.identity.name);
   }
 
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -17,14 +17,23 @@
   readonly table: string;
   readonly clock: Clock;
   readonly logger: Logger;
+  /// Read before each call.
+  readonly pace: () => FeedPace;
+  /// The version that is known by other ways, such as peers: a call need not go behind it.
+  readonly reached: () => number;
+}
+
+/// How often the store is asked for changes.
+export interface FeedPace {
   /// How long changes are gathered before the next call, so that several cost one call.
   /// Doubles up to `longestGather` while each call brings changes at once.
   readonly gather: Milliseconds;
   readonly longestGather: Milliseconds;
+  /// How long a call may wait for a change. A connection that has gone silent shows only
+  /// after it.
+  readonly wait: Milliseconds;
 }
 
-// Below the 30 s that the store's interface allows, so that a silent connection shows.
-const longestWait: Milliseconds = 10_000;
 // A store that refuses is asked again after a pause that doubles up to the second figure,
 // which is half of the two seconds in which settings have to be in force.
 const firstPause: Milliseconds = 100;
@@ -48,20 +57,22 @@
 }
 
 async function follow(
-  { store, table, clock, logger, gather, longestGather }: TableFollower,
+  { store, table, clock, logger, pace: readPace, reached }: TableFollower,
   emit: (change: TableChange) => void,
   signal: AbortSignal,
 ): Promise<void> {
   let version: number | undefined;
   let pause = firstPause;
   let isAway = false;
-  let gathering = gather;
+  let gathering = readPace().gather;
   while (!signal.aborted) {
     const asked = clock.monotonic();
+    const { gather, longestGather, wait } = readPace();
+    if (version !== undefined) version = Math.max(version, reached());
     const outcome =
       version === undefined
         ? (await store.readTable(table)).map((range) => ({ kind: "whole" as const, ...range }))
-        : await store.waitForChanges(table, version, longestWait, signal);
+        : await store.waitForChanges(table, version, wait, signal);
     if (outcome.isErr) {
       if (!isAway) logger.warn("store lost", { table, version, reason: outcome.error });
       isAway = true;
@@ -90,7 +101,7 @@
         break;
     }
     const isRun = clock.monotonic() - asked < gathering;
-    gathering = isRun ? Math.min(longestGather, gathering * 2) : gather;
+    gathering = isRun ? Math.min(longestGather, Math.max(gather, gathering * 2)) : gather;
     await clock.sleep(gathering, signal);
   }
 }
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -55,7 +55,11 @@
   };
 }
 
-async function follow(script: Result<RangeOutcome | FeedOutcome, string>[], changes: number) {
+async function follow(
+  script: Result<RangeOutcome | FeedOutcome, string>[],
+  changes: number,
+  reached = () => -1,
+) {
   const store = new ScriptedStore(script);
   const clock = fakeClock();
   const seen: TableChange[] = [];
@@ -65,8 +69,8 @@
       table: "servers",
       clock,
       logger: quiet,
-      gather: 100,
-      longestGather: 400,
+      pace: () => ({ gather: 100, longestGather: 400, wait: 10_000 }),
+      reached,
     }).subscribe((change) => {
       seen.push(change);
       if (seen.length === changes) setImmediate(resolve);
@@ -126,6 +130,18 @@
   t.same(asked, ["read", "after 5", "after 5", "after 5", "after 6"]);
 });
 
+t.test("a feed goes on from what peers told, and not from before it", async (t) => {
+  const { asked } = await follow(
+    [
+      Result.ok({ rows: [], version: 5 }),
+      Result.ok({ kind: "changed", rows: [row("a", 9)], version: 9 }),
+    ],
+    2,
+    () => 8,
+  );
+  t.same(asked, ["read", "after 8", "after 9"]);
+});
+
 t.test("a run of changes is gathered for longer and longer, up to the bound", async (t) => {
   const change = (version: number): Result<FeedOutcome, string> =>
     Result.ok({ kind: "changed", rows: [row("a", version)], version });
