Let hearsay spare engines only, and less than a crossing between data centres

A doubt of any entry VM, such as a probe with a short deadline that ran out, had all others avoid one of three replicas; and for engines it outweighed a crossing, which puts a prompt's activations on the pipe. Change: hearsay is for engines alone, at 30 ms against a crossing's 80.

--- a/packages/attempts/src/engine-cost.ts
+++ b/packages/attempts/src/engine-cost.ts
@@ -11,6 +11,9 @@
 // More than any path of a whole data centre takes: an engine that has just refused is
 // used only where no other holds its layers.
 const refusingTime: Milliseconds = 100;
+// Less than a crossing between data centres: an engine that another entry VM doubts is
+// left for another one of its data centre, or for a whole path elsewhere.
+const hearsayTime: Milliseconds = 30;
 // Beyond this use of an engine's reading or memory the estimate says no more than "full".
 const largestUse = 0.95;
 
@@ -39,10 +42,15 @@
     dataCentre: target.dataCentre,
     layers: target.layers,
     layerTime: (step / held) * crowding,
-    visitTime: step * visitShareOfStep * crowding + (target.refusingUntil > now ? refusingTime : 0),
+    visitTime: step * visitShareOfStep * crowding + penalty(target, now),
   };
 }
 
+function penalty({ refusingUntil, hearsayUntil }: Target, now: Milliseconds): Milliseconds {
+  if (refusingUntil > now) return refusingTime;
+  return hearsayUntil > now ? hearsayTime : 0;
+}
+
 // How many times longer work takes where this part of the means is in use.
 function waiting(use: number): number {
   return 1 / (1 - Math.min(largestUse, use));
--- a/packages/attempts/src/target-book.ts
+++ b/packages/attempts/src/target-book.ts
@@ -14,6 +14,8 @@
   readonly readRate: number;
   readonly doubtedUntil: Milliseconds;
   readonly refusingUntil: Milliseconds;
+  /// Until when other entry VMs' doubts about it count.
+  readonly hearsayUntil: Milliseconds;
   readonly load: number;
 }
 
@@ -23,6 +25,7 @@
   readonly reading: DecayingRate;
   doubtedUntil: Milliseconds;
   refusingUntil: Milliseconds;
+  hearsayUntil: Milliseconds;
   refusals: number;
   doubts: number;
   load: number;
@@ -191,16 +194,17 @@
     return pause;
   }
 
-  /// Other entry VMs doubt these targets. That is a reason to prefer others, not to leave
-  /// them out: it may be the other entry VM's link that failed. Returns whether it was news.
+  /// Other entry VMs doubt these targets. That is a reason to prefer other engines, not to
+  /// leave these out: it may be the other entry VM's link that failed. Returns whether it
+  /// was news.
   heardDoubts(names: readonly string[]): boolean {
     const now = this.clock.monotonic();
     let isNews = false;
     for (const name of names) {
       if (!this.listed.has(name)) continue;
       const evidence = this.evidenceOf(name);
-      if (evidence.refusingUntil <= now && evidence.doubtedUntil <= now) isNews = true;
-      evidence.refusingUntil = Math.max(evidence.refusingUntil, now + hearsayLifetime);
+      if (evidence.hearsayUntil <= now && evidence.doubtedUntil <= now) isNews = true;
+      evidence.hearsayUntil = now + hearsayLifetime;
     }
     return isNews;
   }
@@ -259,6 +263,7 @@
       reading: new DecayingRate(readRateMemory),
       doubtedUntil: -Infinity,
       refusingUntil: -Infinity,
+      hearsayUntil: -Infinity,
       refusals: 0,
       doubts: 0,
       load: 0,
--- a/packages/attempts/test/target-book.test.ts
+++ b/packages/attempts/test/target-book.test.ts
@@ -46,10 +46,11 @@
     book.serving("portal").map(({ name }) => name),
     ["a", "b"],
   );
-  t.ok((book.get("a")?.refusingUntil ?? 0) > 0);
+  t.ok((book.get("a")?.hearsayUntil ?? 0) > 0);
+  t.notOk((book.get("a")?.refusingUntil ?? 0) > 0, "replicas of plain services are not spared");
   t.equal(book.heardDoubts(["a"]), false, "no longer news, so that it is passed on once");
   advance(2_000);
-  t.ok((book.get("a")?.refusingUntil ?? 0) < 2_000, "hearsay is forgotten soon");
+  t.ok((book.get("a")?.hearsayUntil ?? 0) < 2_000, "hearsay is forgotten soon");
   t.end();
 });
 
