--- a/packages/attempts/src/engine-cost.ts
+++ b/packages/attempts/src/engine-cost.ts
@@ -8,14 +8,17 @@
 
 // Passing on to the next engine and waiting there for the pass under way.
 const visitShareOfStep = 0.5;
-// More than any path of a whole data centre takes: an engine that has just refused is
-// used only where no other holds its layers.
-const refusingTime: Milliseconds = 100;
-// Less than a crossing between data centres: an engine that another entry VM doubts is
+// More than a crossing between data centres: an engine that has just refused is used only
+// where no other holds its layers.
+const refusingTime: Milliseconds = 1_000;
+// Far less than a crossing: an engine that another entry VM doubts is
 // left for another one of its data centre, or for a whole path elsewhere.
 const hearsayTime: Milliseconds = 30;
 // Beyond this use of an engine's reading or memory the estimate says no more than "full".
 const largestUse = 0.95;
+// A part on the slowest card takes about 2 ms. With this bound some full engines on a path
+// still come before a crossing between data centres, whose pipe all answers share.
+const largestCrowding = 100;
 
 /// `target` as a part of a path. `sharers` is how many entry VMs use it about as much as
 /// this one. `undefined` for a target that holds no layers or is on an unknown card.
@@ -36,7 +39,7 @@
   const taken = memoryTaken(target, model, card.memoryMegabytes, held, sharers);
   // Cards differ fivefold in speed. A request that waits for memory waits for as long as
   // an answer takes, which no speed makes good: hence the square.
-  const crowding = waiting(use) * waiting(taken) ** 2;
+  const crowding = Math.min(largestCrowding, waiting(use) * waiting(taken) ** 2);
   return {
     name: target.name,
     dataCentre: target.dataCentre,
--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -9,8 +9,9 @@
 // The published bound on the parts of a path.
 const largestParts = 32;
 // Crossing data centres within a path puts a prompt's activations on a pipe that all
-// answers share: about 25 MB, or 25 ms of it, and as much again for those that wait.
-const crossingTime: Milliseconds = 80;
+// answers share: about 25 MB, or 25 to 60 ms of it. One crossing an answer would use it
+// up, so that this is for layers that the data centre lacks, and not to spare full engines.
+const crossingTime: Milliseconds = 800;
 // A path that lies in another data centre as a whole costs little, but keeps that one's
 // memory from its own callers.
 const entryCrossingTime: Milliseconds = 15;
