--- a/packages/attempts/src/engine-cost.ts
+++ b/packages/attempts/src/engine-cost.ts
@@ -37,9 +37,9 @@
   const pass = model.stepsPerPass * step + model.largestReadPerPass * readTime;
   const use = (target.readRate * sharers * pass) / model.largestReadPerPass;
   const taken = memoryTaken(target, model, card.memoryMegabytes, held, sharers);
-  // Cards differ fivefold in speed. A request that waits for memory waits for as long as
-  // an answer takes, which no speed makes good: hence the square.
-  const crowding = Math.min(largestCrowding, waiting(use) * waiting(taken) ** 2);
+  // Half full costs little, so that other data centres are not sought then; a request that
+  // waits for memory waits for as long as an answer takes, which no quick card makes good.
+  const crowding = Math.min(largestCrowding, waiting(use) * waiting(taken ** 2) ** 2);
   return {
     name: target.name,
     dataCentre: target.dataCentre,
