--- a/packages/attempts/src/engine-cost.ts
+++ b/packages/attempts/src/engine-cost.ts
@@ -16,6 +16,9 @@
 const hearsayTime: Milliseconds = 30;
 // Beyond this use of an engine's reading or memory the estimate says no more than "full".
 const largestUse = 0.95;
+// Cards differ fivefold in speed: with a plain pole the quick ones are filled to the brim,
+// with a steeper one other data centres are sought at half load.
+const steepness = 1.25;
 // A part on the slowest card takes about 2 ms. With this bound some full engines on a path
 // still come before a crossing between data centres, whose pipe all answers share.
 const largestCrowding = 100;
@@ -37,9 +40,7 @@
   const pass = model.stepsPerPass * step + model.largestReadPerPass * readTime;
   const use = (target.readRate * sharers * pass) / model.largestReadPerPass;
   const taken = memoryTaken(target, model, card.memoryMegabytes, held, sharers);
-  // Half full costs little, so that other data centres are not sought then; a request that
-  // waits for memory waits for as long as an answer takes, which no quick card makes good.
-  const crowding = Math.min(largestCrowding, waiting(use) * waiting(taken ** 2) ** 2);
+  const crowding = Math.min(largestCrowding, waiting(use) * waiting(taken) ** steepness);
   return {
     name: target.name,
     dataCentre: target.dataCentre,
