Borrow repeats when the own part runs out, and keep most exchanges in the data centre

Change: low water is a quarter of the part where that is less; of eight local peers and more nine exchanges in ten stay in the data centre. Sites of up to eight entry VMs a data centre and parts of 16 repeats or more work as before. Test: one of 90 with eight repeats borrows after half of them (from the first on before).

--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -57,6 +57,10 @@
 const liveLimit: Milliseconds = 3_500;
 // Peers of the own data centre answer sooner and outlast a cut between data centres.
 const shareOfLocalExchanges = 0.6;
+// Where a data centre has many entry VMs, the few exchanges that leave it carry its news
+// out several times a second all the same, and traffic between data centres is dear.
+const manyLocalPeers = 8;
+const shareOfLocalExchangesOfMany = 0.9;
 const shareOfExploringExchanges = 0.2;
 const exchangeMethod = "exchange";
 
@@ -322,7 +326,9 @@
     const heard = this.heard();
     const live = heard.filter(({ age }) => age <= liveLimit).map(({ value }) => value);
     const local = live.filter(({ dataCentre }) => dataCentre === this.identity.dataCentre);
-    const pool = local.length > 0 && Math.random() < shareOfLocalExchanges ? local : live;
+    const share =
+      local.length >= manyLocalPeers ? shareOfLocalExchangesOfMany : shareOfLocalExchanges;
+    const pool = local.length > 0 && Math.random() < share ? local : live;
     const addresses = pool.map(({ address }) => address);
     // Some exchanges go to peers that are known of but not heard, to mend a split.
     const liveAddresses = new Set(live.map(({ address }) => address));
--- a/packages/limits/src/repeat-budget.ts
+++ b/packages/limits/src/repeat-budget.ts
@@ -25,8 +25,10 @@
 
 // One that lends keeps half of what it has left.
 const lendableShare = 0.5;
-// Below this many repeats an entry VM borrows.
+// Below this many repeats an entry VM borrows, or below this share of its part where that
+// is less: with many entry VMs a whole part is a few repeats.
 const lowWater = 4;
+const lowWaterShare = 0.25;
 
 interface Loan {
   readonly at: Milliseconds;
@@ -64,7 +66,7 @@
   runningShort(entryVms: number, now: Milliseconds): string[] {
     return [...this.spent.keys()].filter((service) => {
       const { spent, part } = this.account(service, entryVms, now);
-      return spent > 0 && part * shareForFirst - spent < lowWater;
+      return spent > 0 && part * shareForFirst - spent < Math.min(lowWater, part * lowWaterShare);
     });
   }
 
--- a/packages/limits/test/repeat-budget.test.ts
+++ b/packages/limits/test/repeat-budget.test.ts
@@ -72,6 +72,19 @@
   t.end();
 });
 
+t.test("one of many borrows when its few repeats run out, not from the first one on", (t) => {
+  const budget = new RepeatBudget({ ratio: 0, window: 1_000, slack: 960 });
+  const short = () => budget.runningShort(90, 0).length > 0;
+  const part = 8;
+  const wanted: boolean[] = [];
+  for (let spent = 0; spent < part; spent += 1) {
+    wanted.push(short());
+    budget.spend("model", 90, 0, RepeatNeed.Resume);
+  }
+  t.same(wanted, [false, false, false, false, true, true, true, true]);
+  t.end();
+});
+
 t.test("what was lent comes back after a window", (t) => {
   const lender = new RepeatBudget({ ratio: 0, window: 1_000, slack: 40 });
   t.equal(lender.lend("model", 1, 0), 15);
