--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -8,41 +8,20 @@
   type Logger,
   type Milliseconds,
 } from "@lovagebend/common";
-import { GossipState, type GossipEntry } from "@lovagebend/membership";
-import type { RowStore, StoredRow } from "@lovagebend/store";
+import { GossipState } from "@lovagebend/membership";
+import type { RowStore } from "@lovagebend/store";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
 import type { Knowledge } from "./knowledge.js";
+import {
+  fromWire,
+  readVmFact,
+  toWire,
+  type PeerMessage,
+  type TableVersions,
+  type VmFact,
+} from "./peer-message.js";
 import type { EntryIdentity } from "./ports.js";
 
-interface WireRow {
-  readonly key: string;
-  readonly version: number;
-  readonly value: string | null;
-}
-
-interface TableVersions {
-  readonly document: number;
-  readonly targets: number;
-}
-
-/// One side of an exchange. `wants` is how far the sender has come; `rows` and `facts`
-/// are what it believes the other lacks.
-interface PeerMessage {
-  readonly digest: Readonly<Record<string, number>>;
-  readonly versions: TableVersions;
-  readonly facts: readonly GossipEntry[];
-  readonly rows: { readonly document: readonly WireRow[]; readonly targets: readonly WireRow[] };
-  /// How much longer targets whose entries are gone keep their places, since the sender
-  /// knows that the store was away.
-  readonly lapseGrace: Milliseconds;
-}
-
-interface VmFact {
-  readonly address: string;
-  readonly dataCentre: string;
-  readonly isStopping: boolean;
-}
-
 const vmFact = "vm";
 const doubtsFact = "doubts";
 // Doubts are news for as long as the shortest of them holds, and the way of the news.
@@ -343,30 +322,3 @@
     return chosen[Math.floor(Math.random() * chosen.length)];
   }
 }
-
-// An entry that another version wrote, or one that cannot be read, names no peer.
-function readVmFact(value: Buffer): VmFact | undefined {
-  try {
-    const fact = JSON.parse(value.toString("utf8")) as Partial<VmFact>;
-    const isReadable = typeof fact.address === "string" && typeof fact.dataCentre === "string";
-    return isReadable ? (fact as VmFact) : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
-function toWire(rows: readonly StoredRow[]): WireRow[] {
-  return rows.map(({ key, version, value }) => ({
-    key,
-    version,
-    value: value?.toString("base64") ?? null,
-  }));
-}
-
-function fromWire(rows: readonly WireRow[]): StoredRow[] {
-  return rows.map(({ key, version, value }) => ({
-    key,
-    version,
-    value: value === null ? undefined : Buffer.from(value, "base64"),
-  }));
-}
