Log the prompt parts of a stream and which answers a target's end interrupts

No decision changes: when a stream breaks off at its start, the first engine's report is read once to see whether its process is gone.

--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -5,6 +5,7 @@
 export { answerStreaming } from "./streaming-answer.js";
 export { estimateLayerHolder } from "./engine-cost.js";
 export { findUnresponsiveTargets, type WatchedStream } from "./unresponsive-targets.js";
+export { CrashReporter } from "./crash-reporter.js";
 export { StreamWatch, Urgency, type ReroutableStream } from "./stream-watch.js";
 export type {
   AttemptServices,
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -11,13 +11,15 @@
 import type { SharedRetryBudget } from "@lovagebend/limits";
 import type { PathPart } from "@lovagebend/routing";
 import type { Result } from "true-myth";
+import type { CrashReporter } from "./crash-reporter.js";
 import type { StreamWatch } from "./stream-watch.js";
 import type { TargetRegistry } from "./target-registry.js";
 
 /// A caller's request with its route and service. `deadline` is a time of the monotonic
 /// clock, the earlier of the caller's and the route's deadlines. `signal` aborts when the
 /// caller disconnects. `tokens` counts the prompt and the maximum answer, `promptTokens` only
-/// the prompt.
+/// the prompt. `sharedPromptParts` are the identifiers of the parts of the prompt that other
+/// requests may have in common with it, in the order of the prompt; its last part is its own.
 export interface RoutedRequest extends ForwardedRequest {
   readonly route: ForwardRoute;
   readonly service: ServiceProfile;
@@ -26,6 +28,7 @@
   readonly deadline: Milliseconds;
   readonly tokens: number;
   readonly promptTokens: number;
+  readonly sharedPromptParts: readonly string[];
   readonly signal: AbortSignal;
 }
 
@@ -62,6 +65,9 @@
 
 /// Calls to engines about running answers. No method throws.
 export interface EngineCalls {
+  /// Returns the wall-clock time in milliseconds at which the target's process started, or an
+  /// error if no process answers.
+  readProcessStart(target: EngineAddress): Promise<Result<number, string>>;
   /// Returns, by request, the address (`host:port`) of the target that stalls the answer, for
   /// the answers whose first part runs on `target`.
   getStalledAnswers(target: EngineAddress): Promise<Result<ReadonlyMap<string, string>, string>>;
@@ -85,6 +91,7 @@
   readonly budget: SharedRetryBudget;
   readonly engines: EngineCalls;
   readonly watch: StreamWatch;
+  readonly crashReporter: CrashReporter;
   readonly dataCentre: string;
   /// The number of entry VMs, including those not reachable for a few seconds, because they
   /// continue to run during a network partition.
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -16,8 +16,10 @@
 import { RetryPurpose } from "@lovagebend/limits";
 import type { PathPart } from "@lovagebend/routing";
 import type http from "node:http";
+import { AnswerStart } from "./answer-start.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
 import { StreamPaths } from "./stream-paths.js";
+import type { Target } from "./target-registry.js";
 import { Urgency } from "./stream-watch.js";
 import { WatchedDispatch, type Reroutable } from "./watched-dispatch.js";
 
@@ -62,6 +64,9 @@
   private readonly excludedTargets: string[] = [];
   private readonly paths: StreamPaths;
   private dispatchAbort: AbortController | undefined;
+  /// The first target of the current dispatch, as listed when it was sent.
+  private dispatchTarget: Target | undefined;
+  private start = new AnswerStart(() => undefined);
   /// The number of dispatches on which an engine began to answer.
   private executions = 0;
   /// Whether an engine may have run the request, even if no answer arrived.
@@ -117,6 +122,7 @@
         case "broken":
           if (outcome.hasRun) this.executions += 1;
           reason = outcome.reason;
+          await this.reportBrokenStart();
           this.excludeFirst(path, reason);
           if (clock.monotonicTime() >= request.deadline) {
             this.giveUp(ErrorKind.DeadlineExceeded, reason);
@@ -172,6 +178,7 @@
     this.services.logger.info("stream offered", {
       request: this.request.id,
       path: path.map(({ target, first, end }) => `${target}:${first}-${end}`).join(" "),
+      promptParts: this.request.sharedPromptParts.join(","),
       lastEvent: this.lastEventId,
       firstEventAfter: roundTime(this.firstEventAfter),
       took: roundTime(this.services.clock.monotonicTime() - this.dispatchedAt),
@@ -180,6 +187,13 @@
     });
   }
 
+  private async reportBrokenStart(): Promise<void> {
+    if (this.dispatchTarget === undefined || this.start.isOver) return;
+    if (this.dispatchAbort?.signal.aborted === true) return;
+    const { crashReporter } = this.services;
+    await crashReporter.reportBrokenStart(this.dispatchTarget, this.request, this.start.hasEvents);
+  }
+
   // An engine that broke a stream off is excluded from the next dispatches of the stream. An
   // engine whose dispatch this entry VM aborted because of another engine remains available.
   private excludeFirst(path: readonly PathPart[], reason: string): void {
@@ -227,6 +241,8 @@
     const remainingTime = request.deadline - clock.monotonicTime();
     this.dispatchAbort = new AbortController();
     this.hasResponseHead = false;
+    this.dispatchTarget = first;
+    this.start = new AnswerStart(() => undefined);
     this.dispatchedAt = clock.monotonicTime();
     this.firstEventAfter = undefined;
     const timeout = setTimeout(() => this.dispatchAbort?.abort(), Math.max(1, remainingTime));
@@ -334,6 +350,7 @@
         this.lastEventId = events.lastEventId ?? this.lastEventId;
         this.lastEventAt = this.services.clock.monotonicTime();
         this.firstEventAfter ??= this.lastEventAt - this.dispatchedAt;
+        this.start.recordEvents(this.lastEventAt);
         this.beginAnswer(message, isDelimited);
         watched.recordProgress(this.lastEventAt);
         if (this.answer.send(events.bytes)) return;
@@ -356,6 +373,7 @@
           return;
         }
         for (const { target } of this.path) this.services.targetRegistry.recordSuccess(target);
+        if (isDelimited) this.start.recordCompletion();
         this.beginAnswer(message, isDelimited);
         this.answer.end();
         resolve({ kind: "ended" });
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -39,6 +39,8 @@
 // Short, because the caller's next connection reaches another entry VM.
 const stoppingRetrySeconds = 0.05;
 const maximumIdentifierLength = 200;
+const maximumPartIdentifierLength = 64;
+const maximumSharedParts = 32;
 
 /// Serves callers and counts the requests in progress, for which a graceful shutdown waits.
 export class CallerServer {
@@ -146,6 +148,7 @@
       priority: workspace?.priority ?? route.priority,
       deadline: receivedAt + effectiveTimeout,
       ...parseTokenCounts(request, headerNames.tokenCounts),
+      sharedPromptParts: parseSharedPromptParts(request, headerNames.promptParts),
       signal,
     };
   }
@@ -230,6 +233,17 @@
     : { tokens: 0, promptTokens: 0 };
 }
 
+// The last part of a prompt belongs to the request itself or to its session.
+function parseSharedPromptParts(request: http.IncomingMessage, header: string): string[] {
+  const declared = request.headers[header];
+  if (typeof declared !== "string") return [];
+  const identifiers = declared.split(",").map((part) => part.split(":")[0]?.trim() ?? "");
+  const shared = identifiers
+    .slice(0, -1)
+    .filter((part) => part !== "" && part.length <= maximumPartIdentifierLength);
+  return [...new Set(shared)].slice(0, maximumSharedParts);
+}
+
 function toInternalError(error: unknown): RouterError {
   return new RouterError(ErrorKind.Internal, RunState.Unknown, String(error));
 }
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -1,6 +1,6 @@
 //! Assembles the parts of an entry VM, starts its servers and background tasks, and shuts
 //! them down gracefully.
-import { StreamWatch, TargetRegistry } from "@lovagebend/attempts";
+import { CrashReporter, StreamWatch, TargetRegistry } from "@lovagebend/attempts";
 import {
   getErrorResponse,
   LifecycleManager,
@@ -70,6 +70,7 @@
     budget,
     engines,
     watch,
+    crashReporter: new CrashReporter(engines, logger),
     dataCentre: identity.dataCentre,
     entryVmCount: () => peers.countEntryVms(),
     localEntryVmCount: () => peers.countLocalEntryVms(),
--- a/packages/forwarding/src/header-names.ts
+++ b/packages/forwarding/src/header-names.ts
@@ -28,4 +28,6 @@
   /// The number of prompt tokens and the maximum number of answer tokens of a request to a
   /// model.
   readonly tokenCounts: string;
+  /// The parts of a prompt in order, as `identifier:tokens` separated by commas.
+  readonly promptParts: string;
 }
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -28,6 +28,7 @@
   lastEventId: "last-event",
   load: "load",
   tokenCounts: "tokens",
+  promptParts: "prompt-parts",
 };
 
 function buildHeaders(rawHeaders: readonly string[], body = "", method = "POST") {
