Quarantine the parts of prompts that crash targets

Callers saw most answers refused or broken off for as long as requests with one particular part came in (BUDGET, LOST): each such request ended the engine that began to answer it, and its repeat the next one.

Cause: an entry VM treated the end of an engine as the engine's fault alone. It repeated the request elsewhere, and no entry VM knew what the requests on the ended engines had in common. The class of fault: a retry policy that blames the target for what the request brought about.

Now the entry VMs share records of crashes with the prompt parts of the answers that were starting on each, and of answers that lived (a join-semilattice, exchanged by digest). A part without any answer that lived is convicted by three crashes at different times, any other by five; a crash that a convicted part explains counts for no other part. Requests with a convicted part are refused at once. Verdicts are kept in the store, outlive restarts and end with one trial request.

Ruled out: load of the resumed streams and over-full engines (no engine ended without a request that had the part).

--- a/packages/attempts/src/crash-reporter.ts
+++ b/packages/attempts/src/crash-reporter.ts
@@ -1,7 +1,8 @@
 //! Reports the crash of a target with the prompts of the answers that were starting on it.
 //! A closed connection alone does not show that the target's process has ended, so the target
 //! is queried.
-import type { Logger } from "@lovagebend/common";
+import type { Clock, Logger } from "@lovagebend/common";
+import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { EngineCalls, RoutedRequest } from "./routed-request.js";
 import type { Target } from "./target-registry.js";
 
@@ -10,6 +11,8 @@
 
   constructor(
     private readonly engines: EngineCalls,
+    private readonly quarantine: PromptQuarantine,
+    private readonly clock: Clock,
     private readonly logger: Logger,
   ) {}
 
@@ -21,6 +24,8 @@
     hasEvents: boolean,
   ): Promise<void> {
     if (!(await this.hasEnded(target))) return;
+    const crash = `${target.name}/${target.born}`;
+    this.quarantine.recordCrash(crash, request.sharedPromptParts, this.clock.monotonicTime());
     this.logger.warn("target ended while an answer was starting", {
       request: request.id,
       target: target.name,
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -10,6 +10,7 @@
 } from "@lovagebend/forwarding";
 import type { SharedRetryBudget } from "@lovagebend/limits";
 import type { PathPart } from "@lovagebend/routing";
+import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { Result } from "true-myth";
 import type { CrashReporter } from "./crash-reporter.js";
 import type { StreamWatch } from "./stream-watch.js";
@@ -92,6 +93,9 @@
   readonly engines: EngineCalls;
   readonly watch: StreamWatch;
   readonly crashReporter: CrashReporter;
+  readonly quarantine: PromptQuarantine;
+  /// Whether this entry VM admits the trial request of a quarantined part.
+  readonly holdsTrial: (part: string) => boolean;
   readonly dataCentre: string;
   /// The number of entry VMs, including those not reachable for a few seconds, because they
   /// continue to run during a network partition.
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -66,12 +66,14 @@
   private dispatchAbort: AbortController | undefined;
   /// The first target of the current dispatch, as listed when it was sent.
   private dispatchTarget: Target | undefined;
-  private start = new AnswerStart(() => undefined);
+  private start: AnswerStart;
   /// The number of dispatches on which an engine began to answer.
   private executions = 0;
   /// Whether an engine may have run the request, even if no answer arrived.
   private mayHaveRun = false;
   private hasResponseHead = false;
+  /// Whether an engine has written the answer for longer than its start.
+  private hasLived = false;
   /// Times of the current dispatch, for the log.
   private dispatchedAt: Milliseconds = 0;
   private firstEventAfter: Milliseconds | undefined;
@@ -82,6 +84,7 @@
     private readonly services: AttemptServices,
   ) {
     this.paths = new StreamPaths(request.service, services);
+    this.start = this.createStart();
   }
 
   async run(): Promise<void> {
@@ -100,6 +103,7 @@
         return;
       }
       if (dispatches >= maximumDispatchesBeforeBegin && !this.answer.hasBegun) break;
+      if (this.isQuarantined()) return;
       if (dispatches > 0 && !this.spendRetry()) {
         this.giveUp(ErrorKind.TargetUnreachable, "the retry budget is exhausted");
         return;
@@ -122,7 +126,9 @@
         case "broken":
           if (outcome.hasRun) this.executions += 1;
           reason = outcome.reason;
-          await this.reportBrokenStart();
+          // The report decides on the next dispatch only while the prompt may be at fault.
+          if (this.hasLived) void this.reportBrokenStart();
+          else await this.reportBrokenStart();
           this.excludeFirst(path, reason);
           if (clock.monotonicTime() >= request.deadline) {
             this.giveUp(ErrorKind.DeadlineExceeded, reason);
@@ -187,6 +193,28 @@
     });
   }
 
+  private createStart(): AnswerStart {
+    const { quarantine, clock } = this.services;
+    return new AnswerStart(() => {
+      this.hasLived = true;
+      quarantine.recordSurvival(this.request.sharedPromptParts, clock.monotonicTime());
+    });
+  }
+
+  // Gives the request up if a part of its prompt is not admitted. An answer that has lived shows
+  // that its prompt is sound.
+  private isQuarantined(): boolean {
+    if (this.hasLived) return false;
+    const { quarantine, clock, logger, holdsTrial } = this.services;
+    const { id, sharedPromptParts } = this.request;
+    const admission = quarantine.admit(sharedPromptParts, clock.monotonicTime(), holdsTrial);
+    if (admission.kind === "admitted") return false;
+    const { kind, part, retryAfter } = admission;
+    logger.warn("prompt not admitted", { request: id, reason: kind, part });
+    this.giveUp(ErrorKind.PromptQuarantined, `Part ${part} is ${kind}.`, retryAfter / 1_000);
+    return true;
+  }
+
   private async reportBrokenStart(): Promise<void> {
     if (this.dispatchTarget === undefined || this.start.isOver) return;
     if (this.dispatchAbort?.signal.aborted === true) return;
@@ -207,7 +235,7 @@
     if (this.request.signal.aborted) throw new RouterError(ErrorKind.CallerGone, RunState.Unknown);
   }
 
-  private giveUp(kind: ErrorKind, reason: string): void {
+  private giveUp(kind: ErrorKind, reason: string, retryAfterSeconds?: number): void {
     this.assertCallerConnected();
     if (this.answer.hasBegun) {
       this.services.logger.warn("stream broken off", { request: this.request.id, kind, reason });
@@ -217,9 +245,12 @@
     if (!this.mayHaveRun) {
       const seconds =
         kind === ErrorKind.NoPath ? noPathRetryAfterSeconds : refusedRetryAfterSeconds;
-      throw new RouterError(kind, RunState.NotRun, reason, seconds);
+      throw new RouterError(kind, RunState.NotRun, reason, retryAfterSeconds ?? seconds);
     }
-    const isNotRunKind = kind === ErrorKind.NoPath || kind === ErrorKind.TargetUnreachable;
+    const isNotRunKind =
+      kind === ErrorKind.NoPath ||
+      kind === ErrorKind.TargetUnreachable ||
+      kind === ErrorKind.PromptQuarantined;
     throw new RouterError(isNotRunKind ? ErrorKind.TargetFailed : kind, RunState.Unknown, reason);
   }
 
@@ -242,7 +273,7 @@
     this.dispatchAbort = new AbortController();
     this.hasResponseHead = false;
     this.dispatchTarget = first;
-    this.start = new AnswerStart(() => undefined);
+    this.start = this.createStart();
     this.dispatchedAt = clock.monotonicTime();
     this.firstEventAfter = undefined;
     const timeout = setTimeout(() => this.dispatchAbort?.abort(), Math.max(1, remainingTime));
--- a/packages/common/src/error-kind.ts
+++ b/packages/common/src/error-kind.ts
@@ -11,6 +11,7 @@
   UnknownRoute = "unknown_route",
   SettingsUnknown = "settings_unknown",
   NoPath = "no_path",
+  PromptQuarantined = "prompt_quarantined",
   DeadlineUnreachable = "deadline_unreachable",
   QueueFull = "queue_full",
   ShareExceeded = "share_exceeded",
@@ -93,6 +94,11 @@
     RetryAdvice.AfterDelay,
     "No live targets hold all layers.",
   ),
+  [ErrorKind.PromptQuarantined]: createErrorResponse(
+    503,
+    RetryAdvice.AfterDelay,
+    "Requests with a part of this prompt have crashed targets.",
+  ),
   [ErrorKind.DeadlineUnreachable]: createErrorResponse(
     503,
     RetryAdvice.AfterDelay,
--- a/packages/entry/src/entry-dependencies.ts
+++ b/packages/entry/src/entry-dependencies.ts
@@ -41,12 +41,14 @@
 
 /// The tables of the store. `document` holds the operator's document under the key
 /// `documentKey`, `targets` holds one row for each target, and `entryVms` one for each entry
-/// VM, which writes it itself.
+/// VM, which writes it itself. `verdicts` holds one row for each part of a prompt that crashed
+/// targets.
 export interface TableNames {
   readonly document: string;
   readonly documentKey: string;
   readonly targets: string;
   readonly entryVms: string;
+  readonly verdicts: string;
 }
 
 export interface EntryDependencies {
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -10,12 +10,14 @@
 import { AnswerMemory, TargetConnections } from "@lovagebend/forwarding";
 import { SharedRetryBudget } from "@lovagebend/limits";
 import { EngineFailureDetector, PlacementController } from "@lovagebend/placement";
+import { PromptQuarantine } from "@lovagebend/quarantine";
 import http from "node:http";
 import { CallerServer, type CallerServerServices } from "./caller-server.js";
 import { ReplicatedState } from "./replicated-state.js";
 import { EntryMetrics } from "./metrics.js";
 import { Peers } from "./peers.js";
 import { placeLayers } from "./place-layers.js";
+import { reviewQuarantine, storeVerdicts } from "./review-quarantine.js";
 import { exchangeRetryLoans } from "./retry-loans.js";
 import type { Address, EntryDependencies } from "./entry-dependencies.js";
 
@@ -44,7 +46,8 @@
   const lifecycle = new LifecycleManager();
   const targetRegistry = new TargetRegistry(clock, logger);
   const replicatedState = new ReplicatedState(dependencies, targetRegistry);
-  const peers = new Peers(identity, replicatedState, clock, logger);
+  const quarantine = new PromptQuarantine();
+  const peers = new Peers(identity, replicatedState, quarantine, clock, logger);
   const engines = dependencies.createEngineClient(targetRegistry);
   const watch = new StreamWatch(targetRegistry, engines, clock, logger);
   const connections = new TargetConnections();
@@ -53,6 +56,9 @@
   targetRegistry.onSuspicion = () => {
     peers.triggerExchange();
   };
+  quarantine.onChange = () => {
+    peers.triggerExchange();
+  };
   replicatedState.onStoreChanges = () => {
     peers.triggerExchange();
   };
@@ -70,7 +76,9 @@
     budget,
     engines,
     watch,
-    crashReporter: new CrashReporter(engines, logger),
+    crashReporter: new CrashReporter(engines, quarantine, clock, logger),
+    quarantine,
+    holdsTrial: (part) => peers.hasRole(`trial of ${part}`),
     dataCentre: identity.dataCentre,
     entryVmCount: () => peers.countEntryVms(),
     localEntryVmCount: () => peers.countLocalEntryVms(),
@@ -95,6 +103,11 @@
     "Version of the settings in force",
     () => replicatedState.routes?.version ?? 0,
   );
+  metrics.addGauge(
+    "prompt_parts_quarantined",
+    "Parts of prompts that are kept away from targets",
+    () => quarantine.activeVerdictCount,
+  );
   metrics.addGauge(
     "entry_vms_live",
     "Entry VMs heard of lately",
@@ -136,6 +149,16 @@
   runTask("peers", (signal) => peers.run(signal));
   runTask("registration", () => peers.register(dependencies.store, dependencies.tables.entryVms));
   runTask("retry loans", (signal) => exchangeRetryLoans({ budget, peers, clock, logger }, signal));
+  const quarantineParts = {
+    quarantine,
+    peers,
+    store: dependencies.store,
+    table: dependencies.tables.verdicts,
+    clock,
+    logger,
+  };
+  runTask("quarantine", (signal) => reviewQuarantine(quarantineParts, signal));
+  runTask("verdicts", (signal) => storeVerdicts(quarantineParts, signal));
   runTask("stream watch", (signal) => watch.run(signal));
   const placementController = new PlacementController(engines, clock, logger);
   const engineFailureDetector = new EngineFailureDetector(engines, logger);
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -9,6 +9,7 @@
   type Milliseconds,
 } from "@lovagebend/common";
 import { GossipState } from "@lovagebend/membership";
+import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { RowStore } from "@lovagebend/store";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
 import type { ReplicatedState } from "./replicated-state.js";
@@ -56,6 +57,7 @@
   constructor(
     private readonly identity: EntryIdentity,
     private readonly replicatedState: ReplicatedState,
+    private readonly quarantine: PromptQuarantine,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
@@ -212,7 +214,7 @@
       ]);
       const reply = (await client.request(exchangeMethod, ownMessage)) as PeerMessage;
       this.mergeMessage(reply, address);
-      if (this.hasNewerRowsThan(reply))
+      if (this.hasNewerRowsThan(reply) || this.differsFromQuarantine(reply))
         this.mergeMessage(
           (await client.request(exchangeMethod, this.composeMessage(reply))) as PeerMessage,
           address,
@@ -237,6 +239,7 @@
     const suspectedTargets = suspicions.flatMap(({ value }) => value as string[]);
     if (this.replicatedState.targetRegistry.recordPeerSuspicions(suspectedTargets))
       this.triggerExchange();
+    this.mergeQuarantine(message, peer);
     const rows = {
       document: fromWireRows(message.rows.document),
       targets: fromWireRows(message.rows.targets),
@@ -246,8 +249,18 @@
       this.triggerExchange();
   }
 
+  private mergeQuarantine({ quarantine }: PeerMessage, peer: string): void {
+    if (quarantine?.state === undefined) return;
+    const isMerged = this.quarantine.merge(quarantine.state, this.clock.monotonicTime());
+    if (isMerged === undefined) this.logger.warn("ignoring invalid quarantine of a peer", { peer });
+  }
+
+  private differsFromQuarantine({ quarantine }: Pick<PeerMessage, "quarantine">): boolean {
+    return quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
+  }
+
   private composeMessage(
-    other: Pick<PeerMessage, "digest" | "versions">,
+    other: Pick<PeerMessage, "digest" | "versions" | "quarantine">,
     onlyOwners?: readonly string[],
   ): PeerMessage {
     const now = this.clock.monotonicTime();
@@ -263,6 +276,10 @@
         targets: toWireRows(targets.findRowsNewerThan(other.versions.targets)),
       },
       lapseGrace: this.replicatedState.targetRegistry.getRemainingGrace(),
+      quarantine: {
+        digest: this.quarantine.digest,
+        ...(this.differsFromQuarantine(other) ? { state: this.quarantine.toMessage(now) } : {}),
+      },
     };
   }
 
--- a/packages/entry/test/lapsed-entries.test.ts
+++ b/packages/entry/test/lapsed-entries.test.ts
@@ -43,7 +43,13 @@
     clock,
     logger,
     store,
-    tables: { document: "op", documentKey: "config", targets: "servers", entryVms: "vms" },
+    tables: {
+      document: "op",
+      documentKey: "config",
+      targets: "servers",
+      entryVms: "vms",
+      verdicts: "v",
+    },
     readDocument: (value) => Result.ok({ table: createTable(Number(value)), faults: [] }),
     readTarget: (name) =>
       Result.ok({
--- /dev/null
+++ b/packages/quarantine/src/crash-records.ts
@@ -0,0 +1,103 @@
+//! The crashes of targets that entry VMs have observed, with the shared parts of the prompts
+//! of the answers that were starting on each target when it crashed.
+import type { Milliseconds } from "@lovagebend/common";
+
+/// What is known of a part with respect to one crash. Copies of a record are merged by the
+/// maximum.
+export enum PartStatus {
+  /// No answer with the part is known to have lived.
+  Suspected = 0,
+  /// An answer with the part lived before the crash.
+  LivedBefore = 1,
+  /// An answer with the part has lived since the crash.
+  LivedSince = 2,
+}
+
+/// `position` is the last position of the part in a prompt: a later part is shared by fewer
+/// requests.
+export interface RecordedPart {
+  readonly status: PartStatus;
+  readonly position: number;
+}
+
+/// `crash` identifies the crashed process of a target, so that the reports of several entry
+/// VMs are counted once. `at` is the monotonic time of the crash.
+export interface CrashRecord {
+  readonly crash: string;
+  readonly at: Milliseconds;
+  readonly parts: ReadonlyMap<string, RecordedPart>;
+}
+
+// A part that crashes targets more seldom than this on average is not detected.
+const recordLifetime: Milliseconds = 600_000;
+// A record is not accepted from a peer shortly before its end. Otherwise peers whose copies
+// differ in age by the transit time could revive it for each other.
+const minimumRemainingLifetime: Milliseconds = 5_000;
+const maximumRecords = 256;
+const maximumPartsPerRecord = 256;
+
+/// Merges what two entry VMs know of a part.
+export function laterStatus(left: PartStatus, right: PartStatus): PartStatus {
+  return left < right ? right : left;
+}
+
+export class CrashRecords {
+  private readonly records = new Map<string, CrashRecord>();
+
+  /// Merges a record; returns whether anything changed.
+  merge(incoming: CrashRecord, now: Milliseconds): boolean {
+    const existing = this.records.get(incoming.crash);
+    if (existing === undefined && now - incoming.at > recordLifetime - minimumRemainingLifetime)
+      return false;
+    const parts = new Map(existing?.parts ?? []);
+    let hasChanged = existing === undefined;
+    for (const [part, { status, position }] of incoming.parts) {
+      const known = parts.get(part);
+      if (known === undefined && parts.size >= maximumPartsPerRecord) continue;
+      const merged = {
+        status: laterStatus(status, known?.status ?? PartStatus.Suspected),
+        position: Math.max(position, known?.position ?? 0),
+      };
+      if (merged.status === known?.status && merged.position === known.position) continue;
+      parts.set(part, merged);
+      hasChanged = true;
+    }
+    const at = Math.min(incoming.at, existing?.at ?? Infinity);
+    if (hasChanged || at !== existing?.at)
+      this.records.set(incoming.crash, { crash: incoming.crash, at, parts });
+    this.evictOldest();
+    return hasChanged;
+  }
+
+  /// Records that an answer with `part` has lived at `now`; returns whether anything changed.
+  recordSurvival(part: string, now: Milliseconds): boolean {
+    let hasChanged = false;
+    for (const record of this.values()) {
+      const known = record.parts.get(part);
+      if (known === undefined || known.status === PartStatus.LivedSince || record.at > now)
+        continue;
+      const raised = new Map([[part, { ...known, status: PartStatus.LivedSince }]]);
+      hasChanged = this.merge({ ...record, parts: raised }, now) || hasChanged;
+    }
+    return hasChanged;
+  }
+
+  /// Removes the records whose lifetime is over; returns whether there were any.
+  expire(now: Milliseconds): boolean {
+    const sizeBefore = this.records.size;
+    for (const { crash, at } of this.values())
+      if (now - at > recordLifetime) this.records.delete(crash);
+    return this.records.size < sizeBefore;
+  }
+
+  values(): CrashRecord[] {
+    return [...this.records.values()];
+  }
+
+  private evictOldest(): void {
+    while (this.records.size > maximumRecords) {
+      const oldest = this.values().reduce((left, right) => (right.at < left.at ? right : left));
+      this.records.delete(oldest.crash);
+    }
+  }
+}
