Share the request limits that targets name between all entry VMs

Cause: nothing read the limit. The class of fault: a bound on a shared resource without anyone who counts for all.

Now the limits spread by gossip, and for each limited target one entry VM, by rendezvous hashing, grants the requests of all from a token bucket at 0.9 of the limit, so that the shares follow the demand. The bucket of a new granting entry VM starts empty, since another one may have granted until then. A limit counts for the first engine of a path; an engine under a limit stays on the paths of others. Without a grant another target is used; where all are limited the request is refused at once. A limit of 0 is tried every five seconds, an answer without a limit lifts it.

Weighed and left: shares by demand from gossip alone. A limit of one request a second is less than one request for each of nine entry VMs, and shares that follow stale demand overshoot when the demand moves.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -2,10 +2,11 @@
 //! sent to the caller. A retryable request is dispatched to another target when one fails;
 //! any other request is dispatched again only if the target proved that it did not run.
 import { isRetryable } from "@lovagebend/catalog";
-import { ErrorKind, RouterError, RunState } from "@lovagebend/common";
+import { ErrorKind, RouterError, RunState, type Milliseconds } from "@lovagebend/common";
 import { responseHeaders, requestHeaders, readBody, sendToTarget } from "@lovagebend/forwarding";
 import { RetryPurpose } from "@lovagebend/limits";
 import { chooseReplica } from "./choose-replica.js";
+import type { LimitOutcome } from "./request-limiter.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest, Framing } from "./routed-request.js";
 import type { Target, TargetRegistry } from "./target-registry.js";
 
@@ -22,6 +23,11 @@
   | { readonly kind: "notRun"; readonly reason: string }
   | { readonly kind: "unknown"; readonly reason: string };
 
+/// `limitRetryAfter` is set if some replica is left out for its limit.
+type ReplicaChoice =
+  | { readonly kind: "chosen"; readonly target: Target }
+  | { readonly kind: "none"; readonly limitRetryAfter: Milliseconds | undefined };
+
 // A refusal by a full target costs little. This bound only ends the loop when all targets
 // refuse.
 const maximumDispatches = 4;
@@ -42,24 +48,15 @@
   const triedTargets = new Set<string>();
   let executions = 0;
   let lastOutcome: DispatchOutcome | undefined;
+  let limitRetryAfter: Milliseconds | undefined;
   for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
     if (request.signal.aborted) throw new RouterError(ErrorKind.CallerGone, RunState.Unknown);
-    const target =
-      chooseReplica(
-        targetRegistry.getServingTargets(service.name),
-        triedTargets,
-        services.dataCentre,
-        clock.monotonicTime(),
-      ) ??
-      (dispatches === 0
-        ? chooseReplica(
-            targetRegistry.getStayingTargets(service.name),
-            triedTargets,
-            services.dataCentre,
-            clock.monotonicTime(),
-          )
-        : undefined);
-    if (target === undefined) break;
+    const choice = await chooseWithinLimits(request, triedTargets, dispatches === 0, services);
+    if (choice.kind === "none") {
+      limitRetryAfter = choice.limitRetryAfter;
+      break;
+    }
+    const { target } = choice;
     if (
       dispatches > 0 &&
       !budget.trySpend(
@@ -110,9 +107,45 @@
     if (!canRetry || executions >= route.maximumAttempts) break;
     if (!isTimeLeft(request, services)) break;
   }
+  if (lastOutcome === undefined && limitRetryAfter !== undefined)
+    throw new RouterError(
+      ErrorKind.TargetsLimited,
+      RunState.NotRun,
+      `Service ${service.name}.`,
+      limitRetryAfter / 1_000,
+    );
   throw createError(request, lastOutcome, services);
 }
 
+// A replica that no request may be sent to is not a candidate for this dispatch.
+async function chooseWithinLimits(
+  { service }: RoutedRequest,
+  triedTargets: ReadonlySet<string>,
+  mayUseSuspected: boolean,
+  { targetRegistry, requestLimiter, dataCentre, clock }: AttemptServices,
+): Promise<ReplicaChoice> {
+  const excluded = new Set(triedTargets);
+  let limitRetryAfter: Milliseconds | undefined;
+  const exclude = (target: Target, outcome: LimitOutcome): void => {
+    if (outcome.kind === "allowed") return;
+    excluded.add(target.name);
+    limitRetryAfter = Math.min(limitRetryAfter ?? Infinity, outcome.retryAfter);
+  };
+  for (const target of targetRegistry.getStayingTargets(service.name))
+    exclude(target, requestLimiter.check(target));
+  for (;;) {
+    const choose = (targets: readonly Target[]) =>
+      chooseReplica(targets, excluded, dataCentre, clock.monotonicTime());
+    const target =
+      choose(targetRegistry.getServingTargets(service.name)) ??
+      (mayUseSuspected ? choose(targetRegistry.getStayingTargets(service.name)) : undefined);
+    if (target === undefined) return { kind: "none", limitRetryAfter };
+    const outcome = await requestLimiter.acquire(target);
+    if (outcome.kind === "allowed") return { kind: "chosen", target };
+    exclude(target, outcome);
+  }
+}
+
 function isTimeLeft(request: RoutedRequest, services: AttemptServices): boolean {
   return services.clock.monotonicTime() < request.deadline;
 }
@@ -146,7 +179,8 @@
   services: AttemptServices,
 ): Promise<DispatchOutcome> {
   const { targetRegistry, clock, connections, headerNames } = services;
-  const remainingTime = request.deadline - clock.monotonicTime();
+  const sentAt = clock.monotonicTime();
+  const remainingTime = request.deadline - sentAt;
   const release = targetRegistry.begin(target.name, 1);
   const timeout = AbortSignal.timeout(Math.max(1, Math.floor(remainingTime)));
   try {
@@ -180,6 +214,8 @@
         };
       case "answered": {
         const { status, message, isNotRun, isDelimited } = reply.response;
+        const limit = message.headers[headerNames.requestLimit];
+        services.requestLimiter.recordAnswer(target, limit?.toString(), sentAt);
         recordReportedLoad(target.name, message.headers[headerNames.load], targetRegistry);
         const body = await readBody(reply.response, services.answerMemory);
         if (isNotRun) return { kind: "notRun", reason: `refused with status ${status}` };
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -13,6 +13,7 @@
 import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { Result } from "true-myth";
 import type { CrashReporter } from "./crash-reporter.js";
+import type { RequestLimiter } from "./request-limiter.js";
 import type { StreamWatch } from "./stream-watch.js";
 import type { TargetRegistry } from "./target-registry.js";
 
@@ -94,6 +95,7 @@
   readonly watch: StreamWatch;
   readonly crashReporter: CrashReporter;
   readonly quarantine: PromptQuarantine;
+  readonly requestLimiter: RequestLimiter;
   /// Whether this entry VM admits the trial request of a quarantined part.
   readonly holdsTrial: (part: string) => boolean;
   readonly dataCentre: string;
--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -19,6 +19,10 @@
 const entryCrossingTime: Milliseconds = 15;
 
 export class StreamPaths {
+  /// The time until a target that the last search within limits left out may take a request;
+  /// `undefined` if it left none out.
+  limitRetryAfter: Milliseconds | undefined;
+
   constructor(
     private readonly service: ServiceProfile,
     private readonly services: AttemptServices,
@@ -30,6 +34,7 @@
   choose(
     firstPart: PathPart | undefined,
     excluded: readonly string[],
+    notFirst: ReadonlySet<string> = new Set(),
   ): readonly PathPart[] | undefined {
     const { targetRegistry, clock, dataCentre, entryVmCount, localEntryVmCount } = this.services;
     const { model, name: service } = this.service;
@@ -49,21 +54,54 @@
       entryCrossingTime,
       localDataCentre: dataCentre,
       maximumParts,
+      notFirst,
       ...(firstPart === undefined || firstTarget === undefined
         ? {}
         : { firstPart: { ...firstPart, dataCentre: firstTarget.dataCentre } }),
     });
   }
 
-  /// Like `choose` without a first part, and without targets that recently refused requests.
-  chooseWithoutRefusing(excluded: readonly string[]): readonly PathPart[] | undefined {
+  /// Like `choose` for a new dispatch. Takes the request out of the limit of the first target,
+  /// the one that receives it.
+  async chooseWithinLimits(excluded: readonly string[]): Promise<readonly PathPart[] | undefined> {
+    const { targetRegistry, requestLimiter } = this.services;
+    const notFirst = new Set<string>();
+    this.limitRetryAfter = undefined;
+    const leaveOut = (name: string, retryAfter: Milliseconds): void => {
+      notFirst.add(name);
+      this.limitRetryAfter = Math.min(this.limitRetryAfter ?? Infinity, retryAfter);
+    };
+    for (const target of targetRegistry.getServingTargets(this.service.name)) {
+      const outcome = requestLimiter.check(target);
+      if (outcome.kind === "denied") leaveOut(target.name, outcome.retryAfter);
+    }
+    for (;;) {
+      const path = this.choose(undefined, excluded, notFirst);
+      const first = path?.[0] === undefined ? undefined : targetRegistry.get(path[0].target);
+      if (first === undefined) return path;
+      const outcome = await requestLimiter.acquire(first);
+      if (outcome.kind === "allowed") return path;
+      leaveOut(first.name, outcome.retryAfter);
+    }
+  }
+
+  /// Like `chooseWithinLimits`, without targets that recently refused requests.
+  chooseWithoutRefusing(excluded: readonly string[]): Promise<readonly PathPart[] | undefined> {
+    return this.chooseWithinLimits([...excluded, ...this.findRefusing()]);
+  }
+
+  /// Whether there is a path without targets that recently refused requests.
+  hasPathWithoutRefusing(excluded: readonly string[]): boolean {
+    return this.choose(undefined, [...excluded, ...this.findRefusing()]) !== undefined;
+  }
+
+  private findRefusing(): string[] {
     const { targetRegistry, clock } = this.services;
     const now = clock.monotonicTime();
-    const refusing = targetRegistry
+    return targetRegistry
       .getServingTargets(this.service.name)
       .filter(({ refusingUntil }) => refusingUntil > now)
       .map(({ name }) => name);
-    return this.choose(undefined, [...excluded, ...refusing]);
   }
 
   /// Describes which layers have no available holder, and which targets are excluded or
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -95,6 +95,11 @@
     for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
       this.assertCallerConnected();
       const path = await this.findPath();
+      const { limitRetryAfter } = this.paths;
+      if (path === undefined && limitRetryAfter !== undefined) {
+        this.giveUp(ErrorKind.TargetsLimited, reason, limitRetryAfter / 1_000);
+        return;
+      }
       if (path === undefined) {
         this.giveUp(
           ErrorKind.NoPath,
@@ -167,17 +172,17 @@
   // has not begun is refused immediately.
   private async findPath(): Promise<readonly PathPart[] | undefined> {
     const { clock } = this.services;
-    const immediatePath = this.paths.chooseWithoutRefusing(this.excludedTargets);
+    const immediatePath = await this.paths.chooseWithoutRefusing(this.excludedTargets);
     if (immediatePath !== undefined || !this.answer.hasBegun)
-      return immediatePath ?? this.paths.choose(undefined, this.excludedTargets);
+      return immediatePath ?? this.paths.chooseWithinLimits(this.excludedTargets);
     this.excludedTargets.length = 0;
     const resumeDeadline = this.lastEventAt + resumeTimeout;
     while (clock.monotonicTime() < resumeDeadline && !this.request.signal.aborted) {
       await clock.sleep(resumeInterval, this.request.signal);
-      const path = this.paths.chooseWithoutRefusing([]);
+      const path = await this.paths.chooseWithoutRefusing([]);
       if (path !== undefined) return path;
     }
-    return this.paths.choose(undefined, []);
+    return this.paths.chooseWithinLimits([]);
   }
 
   private logDispatch(path: readonly PathPart[], outcome: StreamOutcome): void {
@@ -250,6 +255,7 @@
     const isNotRunKind =
       kind === ErrorKind.NoPath ||
       kind === ErrorKind.TargetUnreachable ||
+      kind === ErrorKind.TargetsLimited ||
       kind === ErrorKind.PromptQuarantined;
     throw new RouterError(isNotRunKind ? ErrorKind.TargetFailed : kind, RunState.Unknown, reason);
   }
@@ -339,6 +345,13 @@
         return { kind: "broken", reason: reply.reason, hasRun: false };
       case "answered": {
         const { status, message, isNotRun, faultyTarget } = reply.response;
+        const limit = message.headers[this.services.headerNames.requestLimit];
+        if (this.dispatchTarget !== undefined)
+          this.services.requestLimiter.recordAnswer(
+            this.dispatchTarget,
+            limit?.toString(),
+            this.dispatchedAt,
+          );
         if (status === 200 || !isNotRun) this.mayHaveRun = true;
         this.hasResponseHead = status === 200;
         if (status === 200) return this.forwardEvents(reply.response, watched);
@@ -471,7 +484,7 @@
       case Urgency.WhileItRuns:
         return;
       case Urgency.Soon:
-        if (this.paths.chooseWithoutRefusing(excluded) === undefined) return;
+        if (!this.paths.hasPathWithoutRefusing(excluded)) return;
         break;
       case Urgency.Now:
         break;
--- a/packages/common/src/error-kind.ts
+++ b/packages/common/src/error-kind.ts
@@ -17,6 +17,7 @@
   ShareExceeded = "share_exceeded",
   DeadlineExceeded = "deadline_exceeded",
   TargetUnreachable = "target_unreachable",
+  TargetsLimited = "targets_limited",
   TargetFailed = "target_failed",
   OutcomeUnknown = "outcome_unknown",
   ClaimHeld = "claim_held",
@@ -120,6 +121,11 @@
     RetryAdvice.AfterDelay,
     "No target accepted a connection.",
   ),
+  [ErrorKind.TargetsLimited]: createErrorResponse(
+    503,
+    RetryAdvice.AfterDelay,
+    "The targets accept no more requests at the moment.",
+  ),
   [ErrorKind.TargetFailed]: createErrorResponse(502, RetryAdvice.AfterDelay, "The target failed."),
   [ErrorKind.OutcomeUnknown]: createErrorResponse(
     504,
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -19,6 +19,7 @@
 import { placeLayers } from "./place-layers.js";
 import { reviewQuarantine, storeVerdicts } from "./review-quarantine.js";
 import { exchangeRetryLoans } from "./retry-loans.js";
+import { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { Address, EntryDependencies } from "./entry-dependencies.js";
 
 /// `stop` is the graceful shutdown: it resolves when no request is in progress, or when
@@ -47,7 +48,12 @@
   const targetRegistry = new TargetRegistry(clock, logger);
   const replicatedState = new ReplicatedState(dependencies, targetRegistry);
   const quarantine = new PromptQuarantine();
-  const peers = new Peers(identity, replicatedState, quarantine, clock, logger);
+  const requestLimiter = new SharedRequestLimiter(clock, logger);
+  const peers = new Peers(identity, replicatedState, quarantine, requestLimiter, clock, logger);
+  requestLimiter.connect(peers);
+  requestLimiter.onChange = () => {
+    peers.publishNow();
+  };
   const engines = dependencies.createEngineClient(targetRegistry);
   const watch = new StreamWatch(targetRegistry, engines, clock, logger);
   const connections = new TargetConnections();
@@ -78,6 +84,7 @@
     watch,
     crashReporter: new CrashReporter(engines, quarantine, clock, logger),
     quarantine,
+    requestLimiter,
     holdsTrial: (part) => peers.hasRole(`trial of ${part}`),
     dataCentre: identity.dataCentre,
     entryVmCount: () => peers.countEntryVms(),
@@ -172,6 +179,7 @@
     let wasDirect = true;
     while (!signal.aborted) {
       targetRegistry.expire();
+      requestLimiter.retain((target) => targetRegistry.get(target) !== undefined);
       const isDirect = replicatedState.shouldFollowDirectly();
       if (isDirect !== wasDirect) logger.info("store feed", { followsClosely: isDirect });
       wasDirect = isDirect;
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -21,10 +21,12 @@
   type TableVersions,
   type VmFact,
 } from "./peer-message.js";
+import type { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { EntryIdentity } from "./entry-dependencies.js";
 
 const vmFactKey = "vm";
 const suspicionsFactKey = "doubts";
+const limitsFactKey = "limits";
 // Covers the duration of the shortest suspicion plus the time that gossip takes to spread.
 const maximumSuspicionAge: Milliseconds = 1_500;
 const factLifetime: Milliseconds = 15_000;
@@ -58,6 +60,7 @@
     private readonly identity: EntryIdentity,
     private readonly replicatedState: ReplicatedState,
     private readonly quarantine: PromptQuarantine,
+    private readonly requestLimiter: SharedRequestLimiter,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
@@ -112,7 +115,27 @@
   /// Whether this entry VM holds `role`, by rendezvous hashing over the live entry VMs. Each
   /// entry VM decides from its own view, so that two may hold the role for a while.
   hasRole(role: string): boolean {
-    return rankByRendezvousHash(role, this.findLiveEntryVms())[0] === this.identity.name;
+    return this.findRoleHolder(role) === this.identity.name;
+  }
+
+  /// Calls `method` of the entry VM that holds `role`, or `own` if this entry VM holds it.
+  /// Returns `undefined` if the holder does not answer within `timeout`.
+  async callRoleHolder(
+    role: string,
+    method: string,
+    parameters: object,
+    timeout: Milliseconds,
+    own: () => unknown,
+  ): Promise<unknown> {
+    const holder = this.findRoleHolder(role);
+    if (holder === this.identity.name) return own();
+    const fact = this.findPeerFacts().find(({ owner }) => owner === holder);
+    if (fact === undefined) return undefined;
+    return this.call(fact.value.address, method, parameters, AbortSignal.timeout(timeout));
+  }
+
+  private findRoleHolder(role: string): string | undefined {
+    return rankByRendezvousHash(role, this.findLiveEntryVms())[0];
   }
 
   /// The targets that some entry VM suspects, according to recent gossip.
@@ -133,6 +156,12 @@
     this.sleepAbort.abort();
   }
 
+  /// Publishes the facts of this entry VM and starts the next exchange at once.
+  publishNow(): void {
+    this.publishedAt = -Infinity;
+    this.triggerExchange();
+  }
+
   /// Registers the handler for calls of `method` by peers.
   registerMethod(method: string, handler: (parameters: unknown) => unknown): void {
     this.server.addMethod(method, handler);
@@ -143,6 +172,15 @@
   async callLivePeer(method: string, parameters: object, signal: AbortSignal): Promise<unknown> {
     const address = this.chooseLivePeer();
     if (address === undefined) return undefined;
+    return this.call(address, method, parameters, signal);
+  }
+
+  private async call(
+    address: string,
+    method: string,
+    parameters: object,
+    signal: AbortSignal,
+  ): Promise<unknown> {
     try {
       return await this.createClient(address, signal).request(method, parameters);
     } catch (error) {
@@ -240,6 +278,9 @@
     if (this.replicatedState.targetRegistry.recordPeerSuspicions(suspectedTargets))
       this.triggerExchange();
     this.mergeQuarantine(message, peer);
+    for (const { key, value, age } of newFacts)
+      if (key === limitsFactKey && this.requestLimiter.mergeLimits(value, age))
+        this.triggerExchange();
     const rows = {
       document: fromWireRows(message.rows.document),
       targets: fromWireRows(message.rows.targets),
@@ -299,6 +340,8 @@
     if (suspectedTargets.length > 0) this.gossip.publish(suspicionsFactKey, suspectedTargets, now);
     if (now - this.publishedAt < publishInterval) return;
     this.publishedAt = now;
+    const limits = this.requestLimiter.describeLimits();
+    if (limits.length > 0) this.gossip.publish(limitsFactKey, limits, now);
     this.gossip.publish(vmFactKey, this.describeSelf(), now);
   }
 
--- a/packages/forwarding/src/header-names.ts
+++ b/packages/forwarding/src/header-names.ts
@@ -23,6 +23,8 @@
   readonly faultyTarget: string;
   /// The identifier of the last event that the caller has received.
   readonly lastEventId: string;
+  /// The number of requests per second that the target accepts from all entry VMs together.
+  readonly requestLimit: string;
   /// The target's numbers of running requests, waiting requests and slots.
   readonly load: string;
   /// The number of prompt tokens and the maximum number of answer tokens of a request to a
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -29,6 +29,7 @@
   load: "load",
   tokenCounts: "tokens",
   promptParts: "prompt-parts",
+  requestLimit: "request-limit",
 };
 
 function buildHeaders(rawHeaders: readonly string[], body = "", method = "POST") {
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -6,6 +6,14 @@
 export { RetryBudget } from "./retry-budget.js";
 export { adjustCapacity, type CapacityReading } from "./capacity-control.js";
 export { DemandMeter } from "./demand-meter.js";
+export { NamedLimits, type NamedLimit } from "./named-limits.js";
+export {
+  getGrantSize,
+  HeldGrants,
+  RequestGranter,
+  type Grant,
+  type LocalGrant,
+} from "./request-grants.js";
 export { DecayingRate } from "./decaying-rate.js";
 export {
   SharedRetryBudget,
--- a/packages/routing/src/layer-path.ts
+++ b/packages/routing/src/layer-path.ts
@@ -31,6 +31,8 @@
   /// The part that the path must begin with, because a running answer keeps it.
   readonly firstPart?: PathPart & { readonly dataCentre: string };
   readonly maximumParts: number;
+  /// Targets that a path must not begin with.
+  readonly notFirst?: ReadonlySet<string>;
 }
 
 interface PartialPath {
@@ -63,6 +65,7 @@
       for (const holder of holders) {
         if (holder.layers.first > layer || holder.layers.end <= layer) continue;
         if (partialPath.parts.some(({ target }) => target === holder.name)) continue;
+        if (partialPath.parts.length === 0 && query.notFirst?.has(holder.name) === true) continue;
         extendPath(partialPaths, partialPath, holder, layer, starts, query);
       }
     }
