Do not take a repeated refusal for the answer to the next request

Callers were told 'not run' for requests that a target had run: a faulty target wrote an earlier refusal once more on a kept connection. A refusal with another identifier was rejected before. One without an identifier was believed (three of four routes in the test), and so was one for an identifier that had been sent on the connection before.

Cause: the identity of an answer was taken from its position on the connection where the answer did not name it. Now an answer without an identifier counts only as the first on a connection, and a request whose identifier was sent to the target before gets a connection of its own.

--- a/packages/forwarding/src/target-connections.ts
+++ b/packages/forwarding/src/target-connections.ts
@@ -8,10 +8,14 @@
 // request is seldom sent on a connection that the target is closing.
 const idleTimeout: Milliseconds = 4_000;
 const maximumIdlePerTarget = 32;
+// An answer that is repeated comes within moments of the first.
+const maximumSentIdentifiers = 10_000;
 
 /// Owns the pool of keep-alive connections.
 export class TargetConnections {
-  readonly agent: http.Agent;
+  private readonly agent: http.Agent;
+  /// The identifiers of requests by target, least recent first.
+  private readonly sent = new Set<string>();
 
   constructor() {
     this.agent = new IdleCheckingAgent({
@@ -23,6 +27,20 @@
     });
   }
 
+  /// Returns the agent for a request to a target. A request whose identifier was sent to the
+  /// target before gets a connection of its own, because an answer to the earlier one that is
+  /// repeated on a kept connection could not be told from its answer.
+  chooseAgent(host: string, port: number, id: string): http.Agent | false {
+    const key = `${host}:${port} ${id}`;
+    const wasSent = this.sent.delete(key);
+    this.sent.add(key);
+    for (const oldest of this.sent) {
+      if (this.sent.size <= maximumSentIdentifiers) break;
+      this.sent.delete(oldest);
+    }
+    return wasSent ? false : this.agent;
+  }
+
   close(): void {
     this.agent.destroy();
   }
--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -62,13 +62,14 @@
   return new Promise((resolve) => {
     let isConnected = false;
     let connectionError: string | undefined;
+    const agent = connections.chooseAgent(request.host, request.port, request.id);
     const outgoing = http.request({
       host: request.host,
       port: request.port,
       method: request.method,
       path: request.path,
       headers: request.headers,
-      agent: request.requiresNewConnection ? false : connections.agent,
+      agent: request.requiresNewConnection ? false : agent,
       setHost: false,
       signal: request.signal,
     });
@@ -112,6 +113,12 @@
         resolve({ kind: "unknown", reason: "the answer belongs to another request" });
         return;
       }
+      // On a kept connection it may be the answer to an earlier request, sent once more.
+      if (echoedId === undefined && outgoing.reusedSocket) {
+        outgoing.destroy();
+        resolve({ kind: "unknown", reason: "the answer on a kept connection names no request" });
+        return;
+      }
       const faultyTarget = headers[headerNames.faultyTarget];
       resolve({
         kind: "answered",
