Reset the connection of an aborted answer that has no length

Callers took a stream without a length for complete when the router had aborted it: the end of such an answer is the end of its connection, and an abort closed the connection in the same way.

Now an abort resets it, after the bytes before it have been sent. Answers with a length or in chunks are closed as before, since their end is marked.

Test: 'a stream without a length that breaks off is reset' in platform/test/unfinished-answers.test.ts found the answer complete on the code before. The test's own client now counts an answer as incomplete when its connection fails.

--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -11,6 +11,7 @@
   firstByteAt: number | undefined;
   status = 0;
   isAborted = false;
+  private endsWithConnection = false;
 
   constructor(
     private readonly response: http.ServerResponse,
@@ -35,6 +36,7 @@
         responseHeaders["content-length"] = framing.bytes;
         break;
       case "untilClose":
+        this.endsWithConnection = true;
         this.response.useChunkedEncodingByDefault = false;
         this.response.shouldKeepAlive = false;
         break;
@@ -60,6 +62,15 @@
 
   abort(): void {
     this.isAborted = true;
-    this.response.destroy();
+    const { socket } = this.response;
+    if (!this.endsWithConnection || socket === null || socket.writableLength > maximumUnreadBytes) {
+      this.response.destroy();
+      return;
+    }
+    // The plain end of the connection would mark the answer as complete. The callback runs when
+    // the bytes before the reset have been sent.
+    socket.write("", () => {
+      socket.resetAndDestroy();
+    });
   }
 }
