Resume a stream without a length when its end is the end of its engine

Callers received streams without a length that had lost their last events: an engine that crashes between two events ends such a stream as a complete one does.

Now the engine is queried at the end of a stream without a length. If its process has ended, the stream has broken off and is resumed after the last event, or reset where it may not be resumed. An engine that lives has completed it.

--- a/packages/attempts/src/crash-reporter.ts
+++ b/packages/attempts/src/crash-reporter.ts
@@ -35,8 +35,8 @@
     });
   }
 
-  // Answers that break off together share one query.
-  private hasEnded(target: Target): Promise<boolean> {
+  /// Whether the process of `target` has ended. Queries at the same time are shared.
+  hasEnded(target: Target): Promise<boolean> {
     const existing = this.queries.get(target.name);
     if (existing !== undefined) return existing;
     const query = this.engines
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -408,23 +408,38 @@
       message.on("error", (error) => {
         resolveBroken(error.message);
       });
+      let hasEnd = false;
       message.on("close", () => {
-        resolveBroken("the connection closed before the end of the stream");
+        if (!hasEnd) resolveBroken("the connection closed before the end of the stream");
       });
       message.on("end", () => {
         if (!message.complete || getConnectionError() !== undefined || splitter.pendingBytes > 0) {
           resolveBroken(getConnectionError() ?? "the stream ended within an event");
           return;
         }
-        for (const { target } of this.path) this.services.targetRegistry.recordSuccess(target);
+        hasEnd = true;
         if (isDelimited) this.start.recordCompletion();
-        this.beginAnswer(message, isDelimited);
-        this.answer.end();
-        resolve({ kind: "ended" });
+        void this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
+          if (isEndOfTarget) {
+            resolveBroken("the target ended, and with it the stream without a length");
+            return;
+          }
+          for (const { target } of this.path) this.services.targetRegistry.recordSuccess(target);
+          this.beginAnswer(message, isDelimited);
+          this.answer.end();
+          resolve({ kind: "ended" });
+        });
       });
     });
   }
 
+  // The end of a stream without a length looks the same whether the target has completed the
+  // stream or has ended itself.
+  private async isEndOfTarget(isDelimited: boolean): Promise<boolean> {
+    if (isDelimited || this.dispatchTarget === undefined) return false;
+    return this.services.crashReporter.hasEnded(this.dispatchTarget);
+  }
+
   /// Moves the answer off the `excluded` targets: to another path behind the same first engine
   /// if there is one, otherwise by resuming it on another path if `urgency` requires it.
   async reroute(
