Bound the cost of the quarantine's evidence after many crashes

An entry VM that had recorded 256 crashes with 256 prompt parts each spent 138 ms on each review, ten a second, and sent 1.5 MB in an exchange: crashes of many targets at once could have kept a small VM busy with the evidence alone. Found by a measurement of the module for docs/CAPACITY.md, not by callers.

Now a state has at most 64 crashes with 128 parts each, and a review is skipped while nothing has changed and no crash is recent: 0.85 ms and 185 kB at the bounds, 0.4 ms and 19 kB with 20 crashes of 40 parts.

Test: the bound in packages/quarantine/test/quarantine.test.ts is 64 instead of 256; it fails on the code before.

--- a/packages/quarantine/src/crash-records.ts
+++ b/packages/quarantine/src/crash-records.ts
@@ -33,8 +33,8 @@
 // A record is not accepted from a peer shortly before its end. Otherwise peers whose copies
 // differ in age by the transit time could revive it for each other.
 const minimumRemainingLifetime: Milliseconds = 5_000;
-const maximumRecords = 256;
-const maximumPartsPerRecord = 256;
+const maximumRecords = 64;
+const maximumPartsPerRecord = 128;
 
 /// Merges what two entry VMs know of a part.
 export function laterStatus(left: PartStatus, right: PartStatus): PartStatus {
--- a/packages/quarantine/src/guilty-part.ts
+++ b/packages/quarantine/src/guilty-part.ts
@@ -58,6 +58,11 @@
   );
 }
 
+/// Whether some crash is too recent to convict a part.
+export function hasUnsettledCrash(records: readonly CrashRecord[], now: Milliseconds): boolean {
+  return records.some(({ at }) => now - at < contrastDelay);
+}
+
 /// Returns until when requests with `part` are paused, because it may be guilty and the
 /// contrast of its last crash is still outstanding; `undefined` if they are not.
 export function findPauseEnd(
--- a/packages/quarantine/src/prompt-quarantine.ts
+++ b/packages/quarantine/src/prompt-quarantine.ts
@@ -4,7 +4,13 @@
 import { createHash } from "node:crypto";
 import * as z from "zod";
 import { CrashRecords, laterStatus, PartStatus, type CrashRecord } from "./crash-records.js";
-import { findGuiltyPart, findPauseEnd, isRefuted, type GuiltyPart } from "./guilty-part.js";
+import {
+  findGuiltyPart,
+  findPauseEnd,
+  hasUnsettledCrash,
+  isRefuted,
+  type GuiltyPart,
+} from "./guilty-part.js";
 import { getTrialTime, Verdicts, VerdictState, type Verdict } from "./verdicts.js";
 
 /// Whether a request may be sent to a target. A request that is not admitted may be sent again
@@ -22,7 +28,7 @@
   age: z.number().min(0),
   parts: z
     .array(z.tuple([z.string().max(64), z.enum(PartStatus), z.number().int().min(0)]))
-    .max(256),
+    .max(128),
 });
 const verdictSchema = z.object({
   part: z.string().max(64),
@@ -31,7 +37,7 @@
   age: z.number().min(0),
 });
 const messageSchema = z.object({
-  records: z.array(recordSchema).max(256),
+  records: z.array(recordSchema).max(64),
   verdicts: z.array(verdictSchema).max(1_024),
 });
 
@@ -53,6 +59,8 @@
   private readonly survivals = new Map<string, Milliseconds>();
   private readonly trialsStartedAt = new Map<string, Milliseconds>();
   private cachedDigest: string | undefined;
+  /// Whether a review may have another outcome than the last one.
+  private isReviewDue = false;
   /// Called when the state has changed, so that peers should receive it.
   onChange: () => void = () => undefined;
 
@@ -120,7 +128,9 @@
     const convictions: Conviction[] = [];
     const hasExpired = [this.records.expire(now), this.verdicts.expire(now)];
     if (hasExpired.includes(true)) this.cachedDigest = undefined;
+    if (!this.isReviewDue) return [];
     this.liftRefutedVerdicts(now);
+    this.isReviewDue = hasUnsettledCrash(this.records.values(), now);
     for (;;) {
       const guilty = findGuiltyPart(this.records.values(), this.verdicts.activeParts, now);
       if (guilty === undefined) return convictions;
@@ -207,6 +217,7 @@
 
   private noteChange(): void {
     this.cachedDigest = undefined;
+    this.isReviewDue = true;
     this.onChange();
   }
 }
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -198,6 +198,6 @@
     vm.recordSurvival([`sound-${index}`], index);
     if (index % 10 === 0) vm.recordCrash(`target-${index}/1`, [`crashed-${index}`], index);
   }
-  t.ok(vm.toMessage(30_000).records.length <= 256);
+  t.ok(vm.toMessage(30_000).records.length <= 64);
   t.end();
 });
