Check the quarantine of a request before its path

A request that is not admitted took a grant of a limited engine, which then stayed unused. No test shows it; the grant is one request, and the deadly requests of the incident are few.

--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -94,6 +94,7 @@
     let reason = "";
     for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
       this.assertCallerConnected();
+      if (this.isQuarantined()) return;
       const path = await this.findPath();
       const { limitRetryAfter } = this.paths;
       if (path === undefined && limitRetryAfter !== undefined) {
@@ -108,7 +109,6 @@
         return;
       }
       if (dispatches >= maximumDispatchesBeforeBegin && !this.answer.hasBegun) break;
-      if (this.isQuarantined()) return;
       if (dispatches > 0 && !this.spendRetry()) {
         this.giveUp(ErrorKind.TargetUnreachable, "the retry budget is exhausted");
         return;
