Bound the wait before the reset of an aborted answer

An aborted answer without a length waits for its bytes to be sent. A caller that has stopped reading could have kept its connection open until it left. Not seen; found by reading the change.

--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -1,11 +1,14 @@
 //! Writes an answer to a caller as the response of Node's HTTP server, and records the
 //! status and the time of the first byte for the metrics.
 import type { CallerAnswer, Framing } from "@lovagebend/attempts";
+import type { Milliseconds } from "@lovagebend/common";
 import type http from "node:http";
 
 // Several times the size of a usual streamed answer, and above the amount at which Node's
 // response emits "drain".
 const maximumUnreadBytes = 64 * 1024;
+// For a caller that has stopped reading.
+const abortTimeout: Milliseconds = 1_000;
 
 export class HttpCallerAnswer implements CallerAnswer {
   firstByteAt: number | undefined;
@@ -69,8 +72,10 @@
     }
     // The plain end of the connection would mark the answer as complete. The callback runs when
     // the bytes before the reset have been sent.
-    socket.write("", () => {
+    const reset = (): void => {
       socket.resetAndDestroy();
-    });
+    };
+    socket.setTimeout(abortTimeout, reset);
+    socket.write("", reset);
   }
 }
