Reserve the ports of test deployments outside the range that the system assigns

Cause: the tests chose an entry VM's ports by listening on port 0 and closing again. Until the entry VM listened, any listener on port 0 of the other three test files that run at the same time could get the same port.

Now one function for all test deployments takes ports below the assigned range and holds each with a listener on a second loopback address until the process ends, so that no other test process chooses it.

--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -1,5 +1,6 @@
 //! Starts a small deployment of separate processes on loopback: the platform, engines and
 //! services as stand-ins, and real entry VMs, in three data centres.
+import { reservePorts } from "@lovagebend/stand-ins";
 import { createHash } from "node:crypto";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -7,7 +8,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { fetchJson } from "./fetch-json.js";
 import { startLoopbackProxy, type LoopbackProxy } from "./loopback-proxy.js";
-import { findFreePorts, ProcessGroup, resolveProgram, type StartedProcess } from "./processes.js";
+import { ProcessGroup, resolveProgram, type StartedProcess } from "./processes.js";
 
 /// The specification of a small association: its names, its engines and their layer ranges.
 export interface DeploymentSpec {
@@ -208,7 +209,7 @@
       name: `${dataCentre}-${index + 1}`,
     })),
   );
-  const ports = await findFreePorts(placements.length * 2);
+  const ports = await reservePorts(placements.length * 2);
   const plannedEntryVms = placements.map((placement, index) => ({
     ...placement,
     callerPort: ports[index * 2] ?? 0,
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -1,7 +1,6 @@
 //! Starts and ends the processes of a small deployment on loopback. Only the test harness
 //! starts processes; no process of the product starts another.
 import { spawn, type ChildProcess } from "node:child_process";
-import { createServer } from "node:net";
 import { once } from "node:events";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
@@ -76,18 +75,3 @@
 export function resolveProgram(packageName: string): string {
   return fileURLToPath(new URL("main.js", import.meta.resolve(`@lovagebend/${packageName}`)));
 }
-
-/// Returns loopback ports that were free during the call; another process may bind them
-/// before the caller does.
-export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const address = server.address();
-    if (typeof address === "object" && address !== null) ports.push(address.port);
-  }
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,4 +6,5 @@
 export { endOfSequenceToken, computeReferenceAnswer, tokenize, decodeToken } from "./model.js";
 export type { RunningServer } from "./json-server.js";
 export { SequenceTable, type RecordedRun, type StepRequest } from "./sequence-table.js";
+export { reservePorts } from "./free-ports.js";
 export { MemoryTable } from "./memory-table.js";
