--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -41,7 +41,8 @@
 // Reserved at the end of the shutdown timeout for the process itself to exit.
 const exitMargin: Milliseconds = 400;
 
-/// Starts an entry VM. Throws if it cannot listen on one of its addresses.
+/// Starts an entry VM. Throws if it cannot listen on one of its addresses; then none of its
+/// servers remains.
 export async function startEntryVm(dependencies: EntryDependencies): Promise<RunningEntryVm> {
   const { identity, clock, logger } = dependencies;
   const lifecycle = new LifecycleManager();
@@ -135,15 +136,20 @@
   lifecycle.addResource("target connections", () => {
     connections.close();
   });
-  await startServer("peer server", peerServer, identity.peers);
-  await startServer("readiness server", readinessServer, identity.readiness);
-  await startServer("caller server", callerServer.server, identity.callers);
-  if (identity.metrics !== undefined)
-    await startServer(
-      "metrics server",
-      createMetricsServer(metrics, identity.metricsPath),
-      identity.metrics,
-    );
+  try {
+    await startServer("peer server", peerServer, identity.peers);
+    await startServer("readiness server", readinessServer, identity.readiness);
+    await startServer("caller server", callerServer.server, identity.callers);
+    if (identity.metrics !== undefined)
+      await startServer(
+        "metrics server",
+        createMetricsServer(metrics, identity.metricsPath),
+        identity.metrics,
+      );
+  } catch (error) {
+    await lifecycle.close();
+    throw error;
+  }
   const subscription = replicatedState.followStore();
   lifecycle.addResource("store feeds", () => {
     subscription.unsubscribe();
