Exchange only the crash records that differ between entry VMs

Cause: an exchange between entry VMs whose evidence differed in anything carried all of it, up to three times. While crashes and survivals come in the states always differ, each survival triggers an exchange, and each change made the review list all parts of all records again.

Now an exchange carries digests of the records first, then the records that differ, and back only the parts that differ from those just received. A survival triggers an exchange only if its part was in several crashes, since others do not need it sooner. The review lists only the parts with enough crashes.

Test: 'many crashes cost each of 90 entry VMs less than 30 kB a second' in packages/quarantine/test; the bound is that of the capacity target. All schedules of the package run on the new exchange.

--- a/packages/entry/src/peer-message.ts
+++ b/packages/entry/src/peer-message.ts
@@ -2,7 +2,7 @@
 //! rows to and from their JSON form.
 import type { Milliseconds } from "@lovagebend/common";
 import type { GossipEntry } from "@lovagebend/membership";
-import type { QuarantineMessage } from "@lovagebend/quarantine";
+import type { QuarantineExchange } from "@lovagebend/quarantine";
 import type { StoredRow } from "@lovagebend/store";
 
 /// A row of a table as JSON. `value` is base64, or `null` if the row was removed.
@@ -30,9 +30,8 @@
   /// How much longer targets with a lapsed entry stay listed, because the sender detected an
   /// outage of the store. 0 if there was none recently.
   readonly lapseGrace: Milliseconds;
-  /// The digest of the sender's quarantine, and its state if the digest of the receiver is known
-  /// to differ. A sender of an older version has none.
-  readonly quarantine?: { readonly digest: string; readonly state?: QuarantineMessage };
+  /// A sender of an older version has none.
+  readonly quarantine?: QuarantineExchange;
 }
 
 /// The fact that an entry VM publishes about itself.
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -9,7 +9,7 @@
   type Milliseconds,
 } from "@lovagebend/common";
 import { GossipState } from "@lovagebend/membership";
-import type { PromptQuarantine } from "@lovagebend/quarantine";
+import type { PromptQuarantine, QuarantineExchange } from "@lovagebend/quarantine";
 import type { RowStore } from "@lovagebend/store";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
 import type { ReplicatedState } from "./replicated-state.js";
@@ -251,12 +251,11 @@
         this.identity.name,
       ]);
       const reply = (await client.request(exchangeMethod, ownMessage)) as PeerMessage;
-      this.mergeMessage(reply, address);
-      if (this.hasNewerRowsThan(reply) || this.differsFromQuarantine(reply))
-        this.mergeMessage(
-          (await client.request(exchangeMethod, this.composeMessage(reply))) as PeerMessage,
-          address,
-        );
+      const quarantine = this.mergeMessage(reply, address);
+      const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
+      if (!this.hasNewerRowsThan(reply) && !differs) return;
+      const ownReply = this.composeMessage({ ...reply, quarantine });
+      this.mergeMessage((await client.request(exchangeMethod, ownReply)) as PeerMessage, address);
     } catch (error) {
       if (!signal.aborted)
         this.logger.info("call to peer failed", { peer: address, reason: String(error) });
@@ -264,12 +263,13 @@
   }
 
   private handleExchange(message: PeerMessage): PeerMessage {
-    this.mergeMessage(message, "caller");
+    const quarantine = this.mergeMessage(message, "caller");
     this.publishOwnFacts();
-    return this.composeMessage(message);
+    return this.composeMessage({ ...message, quarantine });
   }
 
-  private mergeMessage(message: PeerMessage, peer: string): void {
+  // Returns the message's part on the quarantine if it is valid.
+  private mergeMessage(message: PeerMessage, peer: string): QuarantineExchange | undefined {
     const newFacts = this.gossip.merge(message.facts, this.clock.monotonicTime());
     const suspicions = newFacts.filter(
       ({ key, age }) => key === suspicionsFactKey && age <= maximumSuspicionAge,
@@ -277,31 +277,37 @@
     const suspectedTargets = suspicions.flatMap(({ value }) => value as string[]);
     if (this.replicatedState.targetRegistry.recordPeerSuspicions(suspectedTargets))
       this.triggerExchange();
-    this.mergeQuarantine(message, peer);
     for (const { key, value, age } of newFacts)
       if (key === limitsFactKey && this.requestLimiter.mergeLimits(value, age))
         this.triggerExchange();
-    const rows = {
-      document: fromWireRows(message.rows.document),
-      targets: fromWireRows(message.rows.targets),
-    };
-    if (rows.document.length === 0 && rows.targets.length === 0) return;
-    if (this.replicatedState.mergePeerRows(rows, message.versions, peer, message.lapseGrace))
-      this.triggerExchange();
+    this.mergeRows(message, peer);
+    return this.mergeQuarantine(message, peer);
   }
 
-  private mergeQuarantine({ quarantine }: PeerMessage, peer: string): void {
-    if (quarantine?.state === undefined) return;
-    const isMerged = this.quarantine.merge(quarantine.state, this.clock.monotonicTime());
-    if (isMerged === undefined) this.logger.warn("ignoring invalid quarantine of a peer", { peer });
+  private mergeRows({ rows, versions, lapseGrace }: PeerMessage, peer: string): void {
+    const received = {
+      document: fromWireRows(rows.document),
+      targets: fromWireRows(rows.targets),
+    };
+    if (received.document.length === 0 && received.targets.length === 0) return;
+    if (this.replicatedState.mergePeerRows(received, versions, peer, lapseGrace))
+      this.triggerExchange();
   }
 
-  private differsFromQuarantine({ quarantine }: Pick<PeerMessage, "quarantine">): boolean {
-    return quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
+  private mergeQuarantine(
+    { quarantine }: PeerMessage,
+    peer: string,
+  ): QuarantineExchange | undefined {
+    if (quarantine === undefined) return undefined;
+    const valid = this.quarantine.mergeExchange(quarantine, this.clock.monotonicTime());
+    if (valid === undefined) this.logger.warn("ignoring invalid quarantine of a peer", { peer });
+    return valid;
   }
 
   private composeMessage(
-    other: Pick<PeerMessage, "digest" | "versions" | "quarantine">,
+    other: Pick<PeerMessage, "digest" | "versions"> & {
+      quarantine?: QuarantineExchange | undefined;
+    },
     onlyOwners?: readonly string[],
   ): PeerMessage {
     const now = this.clock.monotonicTime();
@@ -317,10 +323,7 @@
         targets: toWireRows(targets.findRowsNewerThan(other.versions.targets)),
       },
       lapseGrace: this.replicatedState.targetRegistry.getRemainingGrace(),
-      quarantine: {
-        digest: this.quarantine.digest,
-        ...(this.differsFromQuarantine(other) ? { state: this.quarantine.toMessage(now) } : {}),
-      },
+      quarantine: this.quarantine.composeExchange(other.quarantine, now),
     };
   }
 
--- a/packages/quarantine/src/crash-records.ts
+++ b/packages/quarantine/src/crash-records.ts
@@ -36,21 +36,35 @@
 const maximumRecords = 64;
 const maximumPartsPerRecord = 128;
 
+/// How far a change of the records matters to other entry VMs. `Contrast` is a survival of a part
+/// with several crashes, which may keep it from being convicted.
+export enum RecordChange {
+  None = 0,
+  Survival = 1,
+  Contrast = 2,
+  Crash = 3,
+}
+
 /// Merges what two entry VMs know of a part.
 export function laterStatus(left: PartStatus, right: PartStatus): PartStatus {
   return left < right ? right : left;
 }
 
+export function largerChange(left: RecordChange, right: RecordChange): RecordChange {
+  return left < right ? right : left;
+}
+
 export class CrashRecords {
   private readonly records = new Map<string, CrashRecord>();
 
-  /// Merges a record; returns whether anything changed.
-  merge(incoming: CrashRecord, now: Milliseconds): boolean {
+  /// Merges a record and returns the change.
+  merge(incoming: CrashRecord, now: Milliseconds): RecordChange {
     const existing = this.records.get(incoming.crash);
     if (existing === undefined && now - incoming.at > recordLifetime - minimumRemainingLifetime)
-      return false;
+      return RecordChange.None;
     const parts = new Map(existing?.parts ?? []);
-    let hasChanged = existing === undefined;
+    const raised: string[] = [];
+    let hasNewPart = existing === undefined;
     for (const [part, { status, position }] of incoming.parts) {
       const known = parts.get(part);
       if (known === undefined && parts.size >= maximumPartsPerRecord) continue;
@@ -60,26 +74,29 @@
       };
       if (merged.status === known?.status && merged.position === known.position) continue;
       parts.set(part, merged);
-      hasChanged = true;
+      if (known === undefined) hasNewPart = true;
+      else raised.push(part);
     }
     const at = Math.min(incoming.at, existing?.at ?? Infinity);
-    if (hasChanged || at !== existing?.at)
+    if (hasNewPart || raised.length > 0 || at !== existing?.at)
       this.records.set(incoming.crash, { crash: incoming.crash, at, parts });
     this.evictOldest();
-    return hasChanged;
+    if (hasNewPart) return RecordChange.Crash;
+    if (raised.some((part) => this.hasSeveralCrashes(part))) return RecordChange.Contrast;
+    return raised.length > 0 ? RecordChange.Survival : RecordChange.None;
   }
 
-  /// Records that an answer with `part` has lived at `now`; returns whether anything changed.
-  recordSurvival(part: string, now: Milliseconds): boolean {
-    let hasChanged = false;
+  /// Records that an answer with `part` has lived at `now`, and returns the change.
+  recordSurvival(part: string, now: Milliseconds): RecordChange {
+    let change = RecordChange.None;
     for (const record of this.values()) {
       const known = record.parts.get(part);
       if (known === undefined || known.status === PartStatus.LivedSince || record.at > now)
         continue;
       const raised = new Map([[part, { ...known, status: PartStatus.LivedSince }]]);
-      hasChanged = this.merge({ ...record, parts: raised }, now) || hasChanged;
+      change = largerChange(change, this.merge({ ...record, parts: raised }, now));
     }
-    return hasChanged;
+    return change;
   }
 
   /// Removes the records whose lifetime is over; returns whether there were any.
@@ -94,6 +111,10 @@
     return [...this.records.values()];
   }
 
+  private hasSeveralCrashes(part: string): boolean {
+    return this.values().filter(({ parts }) => parts.has(part)).length > 1;
+  }
+
   private evictOldest(): void {
     while (this.records.size > maximumRecords) {
       const oldest = this.values().reduce((left, right) => (right.at < left.at ? right : left));
--- a/packages/quarantine/src/guilty-part.ts
+++ b/packages/quarantine/src/guilty-part.ts
@@ -80,30 +80,32 @@
   return end > now ? end : undefined;
 }
 
+// The parts with enough crashes for a conviction, which few are.
 function listSuspects(
   records: readonly CrashRecord[],
   convicted: ReadonlySet<string>,
 ): readonly Suspect[] {
-  const suspects = new Map<string, Suspect>();
-  const livedBefore = new Set(
-    records.flatMap(({ parts }) =>
-      [...parts].flatMap(([part, { status }]) => (status === PartStatus.Suspected ? [] : [part])),
-    ),
-  );
+  const crashTimes = new Map<string, Milliseconds[]>();
   for (const record of records) {
     if (isExplained(record, convicted)) continue;
-    for (const [part, { status, position }] of record.parts) {
+    for (const [part, { status }] of record.parts) {
       if (status === PartStatus.LivedSince) continue;
-      const known = suspects.get(part);
-      suspects.set(part, {
-        part,
-        crashTimes: [...(known?.crashTimes ?? []), record.at],
-        hasLivedBefore: livedBefore.has(part),
-        position: Math.max(position, known?.position ?? 0),
-      });
+      const times = crashTimes.get(part);
+      if (times === undefined) crashTimes.set(part, [record.at]);
+      else times.push(record.at);
     }
   }
-  return [...suspects.values()];
+  return [...crashTimes]
+    .filter(([, times]) => times.length >= crashesToConvict)
+    .map(([part, times]) => {
+      const recorded = records.flatMap(({ parts }) => parts.get(part) ?? []);
+      return {
+        part,
+        crashTimes: times,
+        hasLivedBefore: recorded.some(({ status }) => status !== PartStatus.Suspected),
+        position: Math.max(...recorded.map(({ position }) => position)),
+      };
+    });
 }
 
 function countSeparateTimes(times: readonly Milliseconds[]): number {
--- a/packages/quarantine/src/prompt-quarantine.ts
+++ b/packages/quarantine/src/prompt-quarantine.ts
@@ -1,9 +1,23 @@
 //! The quarantine as one entry VM sees it. It combines the entry VM's own observations with the
 //! copies of its peers, and decides whether a request may be sent to a target.
 import type { Milliseconds } from "@lovagebend/common";
-import { createHash } from "node:crypto";
-import * as z from "zod";
-import { CrashRecords, laterStatus, PartStatus, type CrashRecord } from "./crash-records.js";
+import {
+  CrashRecords,
+  largerChange,
+  laterStatus,
+  PartStatus,
+  RecordChange,
+} from "./crash-records.js";
+import {
+  digestRecord,
+  digestSummary,
+  digestVerdicts,
+  exchangeSchema,
+  findDifferences,
+  type QuarantineExchange,
+  type QuarantineState,
+  type QuarantineSummary,
+} from "./exchange.js";
 import {
   findGuiltyPart,
   findPauseEnd,
@@ -23,28 +37,6 @@
 /// A new verdict, with the number of crashes that the part explains.
 export type Conviction = GuiltyPart;
 
-const recordSchema = z.object({
-  crash: z.string().max(200),
-  age: z.number().min(0),
-  parts: z
-    .array(z.tuple([z.string().max(64), z.enum(PartStatus), z.number().int().min(0)]))
-    .max(128),
-});
-const verdictSchema = z.object({
-  part: z.string().max(64),
-  generation: z.number().int().positive(),
-  state: z.enum(VerdictState),
-  age: z.number().min(0),
-});
-const messageSchema = z.object({
-  records: z.array(recordSchema).max(64),
-  verdicts: z.array(verdictSchema).max(1_024),
-});
-
-/// The state as it is sent to a peer or stored. Ages in milliseconds are relative to the
-/// sending, because the clocks of different VMs are never compared.
-export type QuarantineMessage = z.output<typeof messageSchema>;
-
 // Bounds the memory of the parts whose answers have lived: two megabytes.
 const maximumKnownParts = 20_000;
 // After this time every entry VM has merged the evidence, and old records begin to expire.
@@ -58,10 +50,10 @@
   /// The time of the last survival by part, least recent first.
   private readonly survivals = new Map<string, Milliseconds>();
   private readonly trialsStartedAt = new Map<string, Milliseconds>();
-  private cachedDigest: string | undefined;
+  private cachedSummary: QuarantineSummary | undefined;
   /// Whether a review may have another outcome than the last one.
   private isReviewDue = false;
-  /// Called when the state has changed, so that peers should receive it.
+  /// Called when the state has changed in a way that peers should learn of at once.
   onChange: () => void = () => undefined;
 
   /// Records the crash of a target on which an answer to a prompt with `parts` was starting.
@@ -70,13 +62,14 @@
     for (const part of parts) {
       const verdict = this.verdicts.get(part);
       const hasTrialFailed = verdict?.state === VerdictState.Active && getTrialTime(verdict) <= now;
-      if (hasTrialFailed) this.verdicts.convict(part, now);
-      if (hasTrialFailed) this.noteChange();
+      if (!hasTrialFailed) continue;
+      this.verdicts.convict(part, now);
+      this.noteVerdictChange();
     }
     const recorded = parts.map(
       (part, position) => [part, { status: this.getStatus(part, now), position }] as const,
     );
-    if (this.records.merge({ crash, at: now, parts: new Map(recorded) }, now)) this.noteChange();
+    this.noteRecordChange(this.records.merge({ crash, at: now, parts: new Map(recorded) }, now));
   }
 
   /// Records that an answer to a prompt with `parts` has lived past its start on a target.
@@ -84,8 +77,8 @@
     for (const part of parts) {
       this.survivals.delete(part);
       this.survivals.set(part, now);
-      const hasRaised = this.records.recordSurvival(part, now);
-      if (this.verdicts.lift(part) || hasRaised) this.noteChange();
+      this.noteRecordChange(this.records.recordSurvival(part, now));
+      if (this.verdicts.lift(part)) this.noteVerdictChange();
     }
     for (const part of this.survivals.keys()) {
       if (this.survivals.size <= maximumKnownParts) break;
@@ -127,7 +120,7 @@
   review(now: Milliseconds): readonly Conviction[] {
     const convictions: Conviction[] = [];
     const hasExpired = [this.records.expire(now), this.verdicts.expire(now)];
-    if (hasExpired.includes(true)) this.cachedDigest = undefined;
+    if (hasExpired.includes(true)) this.cachedSummary = undefined;
     if (!this.isReviewDue) return [];
     this.liftRefutedVerdicts(now);
     this.isReviewDue = hasUnsettledCrash(this.records.values(), now);
@@ -136,7 +129,7 @@
       if (guilty === undefined) return convictions;
       this.verdicts.convict(guilty.part, now);
       convictions.push(guilty);
-      this.noteChange();
+      this.noteVerdictChange();
     }
   }
 
@@ -150,53 +143,103 @@
     return this.verdicts.activeParts.size;
   }
 
-  /// Merges the state of a peer, or one that was stored. Returns whether anything changed;
-  /// `undefined` if the message is not valid.
-  merge(message: unknown, now: Milliseconds): boolean | undefined {
-    const parsed = messageSchema.safeParse(message);
-    if (!parsed.success) return undefined;
-    let hasChanged = false;
-    for (const { crash, age, parts } of parsed.data.records) {
+  /// Merges a message of a peer and returns it; `undefined` if it is not valid.
+  mergeExchange(message: unknown, now: Milliseconds): QuarantineExchange | undefined {
+    const parsed = exchangeSchema.safeParse(message);
+    if (parsed.data?.state !== undefined) this.merge(parsed.data.state, now);
+    return parsed.data;
+  }
+
+  /// Merges crash records and verdicts of a peer, or those that were stored.
+  merge({ records, verdicts }: QuarantineState, now: Milliseconds): void {
+    let change = RecordChange.None;
+    for (const { crash, age, parts } of records) {
       const at = now - age;
       const merged = parts.map(
         ([part, status, position]) =>
           [part, { status: laterStatus(status, this.getStatus(part, at)), position }] as const,
       );
-      hasChanged = this.records.merge({ crash, at, parts: new Map(merged) }, now) || hasChanged;
+      change = largerChange(change, this.records.merge({ crash, at, parts: new Map(merged) }, now));
     }
-    for (const { age, ...verdict } of parsed.data.verdicts)
-      hasChanged = this.verdicts.merge({ ...verdict, at: now - age }, now) || hasChanged;
-    if (hasChanged) this.noteChange();
-    return hasChanged;
+    this.noteRecordChange(change);
+    let hasVerdictChanged = false;
+    for (const { age, ...verdict } of verdicts)
+      hasVerdictChanged =
+        this.verdicts.merge({ ...verdict, at: now - age }, now) || hasVerdictChanged;
+    if (hasVerdictChanged) this.noteVerdictChange();
   }
 
-  toMessage(now: Milliseconds): QuarantineMessage {
-    return {
-      records: this.records.values().map(({ crash, at, parts }) => ({
-        crash,
-        age: Math.max(0, Math.round(now - at)),
-        parts: [...parts].map(([part, { status, position }]) => [part, status, position]),
-      })),
-      verdicts: this.verdicts.values().map(({ at, ...verdict }) => ({
-        ...verdict,
-        age: Math.max(0, Math.round(now - at)),
-      })),
-    };
+  /// All crash records and verdicts.
+  getState(now: Milliseconds): QuarantineState {
+    return this.describe(Object.keys(this.summary.records), "", now);
+  }
+
+  /// The message for a peer whose last message is `other`; `undefined` opens an exchange.
+  composeExchange(other: QuarantineExchange | undefined, now: Milliseconds): QuarantineExchange {
+    const { digest } = this;
+    if (other === undefined || other.digest === digest) return { digest };
+    if (other.requested !== undefined)
+      return { digest, state: this.findRequested(other.requested, other.state, now) };
+    if (other.summary === undefined) return { digest, summary: this.summary };
+    const requested = findDifferences(this.summary, other.summary);
+    const lacking = Object.keys(requested.records);
+    return { digest, requested, state: this.describe(lacking, other.summary.verdicts, now) };
   }
 
   /// Equal for entry VMs with equal state, regardless of ages.
   get digest(): string {
-    this.cachedDigest ??= createHash("sha1")
-      .update(JSON.stringify([describeRecords(this.records.values()), this.describeVerdicts()]))
-      .digest("base64");
-    return this.cachedDigest;
+    return digestSummary(this.summary);
   }
 
-  private describeVerdicts(): string[] {
-    return this.verdicts
-      .values()
-      .map(({ part, generation, state }) => `${part} ${generation} ${state}`)
-      .sort();
+  private get summary(): QuarantineSummary {
+    this.cachedSummary ??= {
+      verdicts: digestVerdicts(this.verdicts.values()),
+      records: Object.fromEntries(
+        this.records.values().map((record) => [record.crash, digestRecord(record)]),
+      ),
+    };
+    return this.cachedSummary;
+  }
+
+  // What a peer lacks of the records that it requested, and that it has not just sent itself.
+  private findRequested(
+    { verdicts, records }: QuarantineSummary,
+    sent: QuarantineState | undefined,
+    now: Milliseconds,
+  ): QuarantineState {
+    const sentParts = new Map(
+      sent?.records.map(({ crash, parts }) => [crash, new Set(parts.map(String))]),
+    );
+    const own = this.describe(Object.keys(records), verdicts, now);
+    const lacking = own.records.map(({ parts, ...record }) => ({
+      ...record,
+      parts: parts.filter((part) => !sentParts.get(record.crash)?.has(String(part))),
+    }));
+    return { verdicts: own.verdicts, records: lacking.filter(({ parts }) => parts.length > 0) };
+  }
+
+  // The records on `crashes`, and the verdicts if their digest is not `knownVerdicts`.
+  private describe(
+    crashes: readonly string[],
+    knownVerdicts: string,
+    now: Milliseconds,
+  ): QuarantineState {
+    const described = new Set(crashes);
+    const getAge = (at: Milliseconds): Milliseconds => Math.max(0, Math.round(now - at));
+    return {
+      records: this.records
+        .values()
+        .filter(({ crash }) => described.has(crash))
+        .map(({ crash, at, parts }) => ({
+          crash,
+          age: getAge(at),
+          parts: [...parts].map(([part, { status, position }]) => [part, status, position]),
+        })),
+      verdicts:
+        this.summary.verdicts === knownVerdicts
+          ? []
+          : this.verdicts.values().map(({ at, ...verdict }) => ({ ...verdict, age: getAge(at) })),
+    };
   }
 
   // The status of a part with respect to a crash at `crashTime`, from this entry VM's own
@@ -211,24 +254,20 @@
     const records = this.records.values();
     for (const { part, state, at } of this.verdicts.values()) {
       if (state !== VerdictState.Active || now - at > refutationTime) continue;
-      if (isRefuted(records, part) && this.verdicts.lift(part)) this.noteChange();
+      if (isRefuted(records, part) && this.verdicts.lift(part)) this.noteVerdictChange();
     }
   }
 
-  private noteChange(): void {
-    this.cachedDigest = undefined;
+  private noteRecordChange(change: RecordChange): void {
+    if (change === RecordChange.None) return;
+    this.cachedSummary = undefined;
     this.isReviewDue = true;
-    this.onChange();
+    if (change > RecordChange.Survival) this.onChange();
   }
-}
 
-function describeRecords(records: readonly CrashRecord[]): string[] {
-  return records
-    .map(({ crash, parts }) => {
-      const described = [...parts].map(
-        ([part, { status, position }]) => `${part} ${status} ${position}`,
-      );
-      return `${crash} ${described.sort().join(",")}`;
-    })
-    .sort();
+  private noteVerdictChange(): void {
+    this.cachedSummary = undefined;
+    this.isReviewDue = true;
+    this.onChange();
+  }
 }
--- a/packages/quarantine/test/cluster.ts
+++ b/packages/quarantine/test/cluster.ts
@@ -2,12 +2,14 @@
 //! VMs, targets crash, and the entry VMs exchange their states in a random order.
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { PromptQuarantine } from "../src/index.js";
+import { PromptQuarantine, type QuarantineExchange } from "../src/index.js";
 
 export interface ClusterOptions {
   readonly seed: number;
   readonly entryVms: number;
   readonly exchangeInterval?: number;
+  /// Whether changes start further exchanges at once, as between real entry VMs.
+  readonly hasTriggers?: boolean;
 }
 
 /// The outcome of a request. `sent` counts the dispatches to targets.
@@ -18,6 +20,7 @@
 }
 
 const timeStep = 50;
+const minimumTriggerInterval = 150;
 
 export class Cluster {
   now = 0;
@@ -25,12 +28,18 @@
   /// The entry VMs that currently cannot exchange with others.
   readonly isolated = new Set<number>();
   readonly crashTimes: number[] = [];
+  /// The bytes that each entry VM has sent and received.
+  readonly transferredBytes: number[];
   private readonly random: ReturnType<typeof xoroshiro128plus>;
+  private readonly triggered = new Set<number>();
+  private readonly triggeredAt: number[];
   private nextTarget = 0;
 
   constructor(private readonly options: ClusterOptions) {
     this.random = xoroshiro128plus(options.seed);
-    this.vms = Array.from({ length: options.entryVms }, () => new PromptQuarantine());
+    this.vms = Array.from({ length: options.entryVms }, (_, vm) => this.createVm(vm));
+    this.transferredBytes = this.vms.map(() => 0);
+    this.triggeredAt = this.vms.map(() => -Infinity);
   }
 
   /// A random integer below `limit`.
@@ -43,7 +52,8 @@
     const { exchangeInterval = 400, entryVms } = this.options;
     for (; this.now < end; this.now += timeStep) {
       for (let vm = 0; vm < entryVms; vm += 1) {
-        if (this.pick(exchangeInterval) < timeStep) this.exchange(vm, this.pick(entryVms));
+        if (this.pick(exchangeInterval) < timeStep || this.triggered.delete(vm))
+          this.exchange(vm, this.pick(entryVms));
         this.vms[vm]?.review(this.now);
       }
     }
@@ -80,7 +90,7 @@
 
   /// Replaces an entry VM by one without any state.
   restart(vm: number): void {
-    this.vms[vm] = new PromptQuarantine();
+    this.vms[vm] = this.createVm(vm);
   }
 
   countQuarantining(part: string): number {
@@ -88,12 +98,34 @@
       .length;
   }
 
+  private createVm(vm: number): PromptQuarantine {
+    const quarantine = new PromptQuarantine();
+    if (this.options.hasTriggers !== true) return quarantine;
+    quarantine.onChange = () => {
+      if (this.now - (this.triggeredAt[vm] ?? -Infinity) < minimumTriggerInterval) return;
+      this.triggeredAt[vm] = this.now;
+      this.triggered.add(vm);
+    };
+    return quarantine;
+  }
+
   private exchange(left: number, right: number): void {
     if (left === right || this.isolated.has(left) !== this.isolated.has(right)) return;
-    const [first, second] = [this.vms[left], this.vms[right]];
-    if (first === undefined || second === undefined || first.digest === second.digest) return;
-    second.merge(first.toMessage(this.now), this.now);
-    first.merge(second.toMessage(this.now), this.now);
+    const [opener, receiver] = [this.vms[left], this.vms[right]];
+    if (opener === undefined || receiver === undefined) return;
+    const send = (message: QuarantineExchange): QuarantineExchange => {
+      const text = JSON.stringify(message);
+      for (const vm of [left, right])
+        this.transferredBytes[vm] = (this.transferredBytes[vm] ?? 0) + text.length;
+      return JSON.parse(text) as QuarantineExchange;
+    };
+    const answer = (message: QuarantineExchange): QuarantineExchange => {
+      receiver.mergeExchange(message, this.now);
+      return send(receiver.composeExchange(message, this.now));
+    };
+    const first = answer(send(opener.composeExchange(undefined, this.now)));
+    if (first.digest === opener.digest) return;
+    opener.mergeExchange(answer(send(opener.composeExchange(first, this.now))), this.now);
   }
 
   private holdsTrial(vm: number, part: string): boolean {
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -167,28 +167,29 @@
   let now = 2_000;
   left.review(now);
   for (; now < end; now += now < 20 * minute ? 1_000 : 10 * minute) {
-    right.merge(left.toMessage(now), now + transitTime);
-    left.merge(right.toMessage(now), now + transitTime);
+    right.merge(left.getState(now), now + transitTime);
+    left.merge(right.getState(now), now + transitTime);
     left.review(now);
     right.review(now);
   }
-  t.same(left.toMessage(now), { records: [], verdicts: [] });
-  t.same(right.toMessage(now), { records: [], verdicts: [] });
+  t.same(left.getState(now), { records: [], verdicts: [] });
+  t.same(right.getState(now), { records: [], verdicts: [] });
   t.end();
 });
 
 t.test("reports of the same crash by several entry VMs count once", (t) => {
   const vms = [new PromptQuarantine(), new PromptQuarantine(), new PromptQuarantine()];
   for (const vm of vms) vm.recordCrash("target-1/1", ["part"], 0);
-  for (const vm of vms) for (const other of vms) vm.merge(other.toMessage(10), 10);
+  for (const vm of vms) for (const other of vms) vm.merge(other.getState(10), 10);
   for (const vm of vms) t.same(vm.review(5_000), []);
   t.end();
 });
 
 t.test("a message that is not valid is ignored", (t) => {
   const vm = new PromptQuarantine();
-  for (const message of [undefined, null, 1, {}, { records: [{}], verdicts: [] }])
-    t.equal(vm.merge(message, 0), undefined);
+  const invalidState = { records: [{}], verdicts: [] };
+  for (const message of [undefined, null, 1, {}, { digest: "", state: invalidState }])
+    t.equal(vm.mergeExchange(message, 0), undefined);
   t.end();
 });
 
@@ -198,6 +199,28 @@
     vm.recordSurvival([`sound-${index}`], index);
     if (index % 10 === 0) vm.recordCrash(`target-${index}/1`, [`crashed-${index}`], index);
   }
-  t.ok(vm.toMessage(30_000).records.length <= 64);
+  t.ok(vm.getState(30_000).records.length <= 64);
+  t.end();
+});
+
+// Guards against evidence that takes more of an entry VM's network than docs/CAPACITY.md allows.
+t.test("many crashes cost each of 90 entry VMs less than 30 kB a second", (t) => {
+  const maximumBytesPerSecond = 30_000;
+  for (const seed of seeds.slice(0, 2)) {
+    const cluster = new Cluster({ seed, entryVms: 90, hasTriggers: true });
+    const pickParts = (): string[] => [`first-${cluster.pick(30)}`, `subject-${cluster.pick(200)}`];
+    const requestsPerStep = 7;
+    while (cluster.now < 20_000) {
+      cluster.advanceTo(cluster.now + 50);
+      for (let index = 0; index < requestsPerStep; index += 1)
+        cluster.request(pickParts(), new Set());
+      if (cluster.now % 500 === 0 && cluster.crashTimes.length < 20)
+        cluster.crashTarget(
+          Array.from({ length: 15 }, () => ({ vm: cluster.pick(90), parts: pickParts() })),
+        );
+    }
+    const busiest = Math.max(...cluster.transferredBytes) / 20;
+    t.ok(busiest < maximumBytesPerSecond, `seed ${seed}: ${Math.round(busiest)} B/s`);
+  }
   t.end();
 });
