Do not send on a request whose caller left before it was read

What callers saw: nothing, they had left. Entry VMs were short of processor time; a request that was sent at 14.9 s was given up by its caller at 15.9 s and reached a target at 17.2 s.

Cause: an entry VM that is late finds the request and the close of its connection together. Node reads the request in one turn of the event loop and the close in the next; the request was sent to a target in between.

Ruled out: requests that wait in the entry VM for a path or a repeat; their signal is checked before each dispatch.

Now the entry VM lets the event loop turn once more before the first dispatch and sees the close. Test: on the code before, the target gets the request of a caller that has left in 6 of 6 cases (three routes, new and kept connections); now in none.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -18,6 +18,7 @@
 } from "@lovagebend/common";
 import http from "node:http";
 import { HttpCallerAnswer } from "./caller-answer.js";
+import { hasCallerLeft } from "./caller-presence.js";
 import type { EntryMetrics } from "./metrics.js";
 import type { ReplicatedState } from "./replicated-state.js";
 
@@ -83,6 +84,8 @@
     let routed: RoutedRequest | undefined;
     try {
       routed = await this.route(request, receivedAt, callerDisconnect.signal);
+      if (await hasCallerLeft(request))
+        throw new RouterError(ErrorKind.CallerGone, RunState.NotRun);
       await this.answer(routed, answer);
     } catch (error) {
       const routerError = error instanceof RouterError ? error : toInternalError(error);
