--- a/packages/placement/test/placement-controller.test.ts
+++ b/packages/placement/test/placement-controller.test.ts
@@ -139,3 +139,52 @@
   await harness.reconcileUntilStable([engine("a", { first: 0, end: 4 })]);
   t.same(harness.sentOrders, []);
 });
+
+const allLayers: LayerRange = { first: 0, end: 4 };
+
+// Guards against LOST: engines that crashed get their layers back late, and sound requests are
+// refused or late meanwhile.
+t.test("the replacement of a lost engine gets layers without a standby time", async (t) => {
+  const harness = new ControllerHarness();
+  await harness.reconcile([engine("a", allLayers), engine("b", allLayers)]);
+  await harness.reconcile([engine("a", allLayers)]);
+  harness.now += 3_000;
+  await harness.reconcile([engine("a", allLayers), engine("replacement")]);
+  t.same(
+    harness.sentOrders.map(({ engine }) => engine),
+    ["replacement"],
+  );
+});
+
+t.test("of two new engines beside one lost engine, one is on standby", async (t) => {
+  const harness = new ControllerHarness();
+  await harness.reconcile([engine("a", allLayers), engine("b", allLayers)]);
+  await harness.reconcile([engine("a", allLayers), engine("c"), engine("d")]);
+  t.equal(harness.sentOrders.length, 1);
+  harness.now += 2_500;
+  await harness.reconcile([engine("a", allLayers), engine("c"), engine("d")]);
+  t.equal(harness.sentOrders.length, 2);
+});
+
+t.test("replacements that join before each engine leaves stay on standby until then", async (t) => {
+  const harness = new ControllerHarness();
+  await harness.reconcile([engine("a", allLayers), engine("b", allLayers)]);
+  await harness.reconcile([engine("a", allLayers), engine("b", allLayers), engine("c")]);
+  harness.now += 2_000;
+  await harness.reconcile([engine("a", allLayers), engine("b", allLayers), engine("c")]);
+  t.same(harness.sentOrders, []);
+  await harness.reconcile([engine("b", allLayers), engine("c")]);
+  t.equal(harness.sentOrders.length, 1, "the replacement takes over when the engine leaves");
+  await harness.reconcile([engine("b", allLayers), engine("c", allLayers), engine("d")]);
+  t.equal(harness.sentOrders.length, 1);
+});
+
+t.test("an engine that left for good is not replaced by one that joins much later", async (t) => {
+  const harness = new ControllerHarness();
+  await harness.reconcile([engine("a", allLayers), engine("b", allLayers)]);
+  await harness.reconcile([engine("a", allLayers)]);
+  harness.now += 31_000;
+  await harness.reconcile([engine("a", allLayers)]);
+  await harness.reconcile([engine("a", allLayers), engine("c")]);
+  t.same(harness.sentOrders, []);
+});
