Convict a part at the admission that follows the evidence

Cause: the pause of a part ends when the evidence of its last crash is complete, but the verdict came with the next review, up to 0.1 s later and more at a busy entry VM.

Now an admission examines the evidence first if it may suffice. The new test fails on the code before: the request is admitted. Ruled out, since it delays each verdict by as much: a longer pause.

--- a/packages/quarantine/src/prompt-quarantine.ts
+++ b/packages/quarantine/src/prompt-quarantine.ts
@@ -51,8 +51,10 @@
   private readonly survivals = new Map<string, Milliseconds>();
   private readonly trialsStartedAt = new Map<string, Milliseconds>();
   private cachedSummary: QuarantineSummary | undefined;
-  /// Whether a review may have another outcome than the last one.
+  /// Whether the evidence may suffice for other verdicts than at the last examination.
   private isReviewDue = false;
+  /// The verdicts that `review` has not returned yet.
+  private readonly newConvictions: Conviction[] = [];
   /// Called when the state has changed in a way that peers should learn of at once.
   onChange: () => void = () => undefined;
 
@@ -95,6 +97,8 @@
   ): Admission {
     if (this.records.values().length === 0 && this.verdicts.values().length === 0)
       return { kind: "admitted" };
+    // The evidence may have become complete since the last review.
+    this.convictGuiltyParts(now);
     const trialParts: string[] = [];
     for (const part of parts) {
       const verdict = this.verdicts.get(part);
@@ -118,19 +122,10 @@
   /// Removes what is out of date and convicts the parts that the records suffice for. Must be
   /// called several times a second. Returns the new verdicts.
   review(now: Milliseconds): readonly Conviction[] {
-    const convictions: Conviction[] = [];
     const hasExpired = [this.records.expire(now), this.verdicts.expire(now)];
     if (hasExpired.includes(true)) this.cachedSummary = undefined;
-    if (!this.isReviewDue) return [];
-    this.liftRefutedVerdicts(now);
-    this.isReviewDue = hasUnsettledCrash(this.records.values(), now);
-    for (;;) {
-      const guilty = findGuiltyPart(this.records.values(), this.verdicts.activeParts, now);
-      if (guilty === undefined) return convictions;
-      this.verdicts.convict(guilty.part, now);
-      convictions.push(guilty);
-      this.noteVerdictChange();
-    }
+    this.convictGuiltyParts(now);
+    return this.newConvictions.splice(0);
   }
 
   /// All verdicts, including lifted ones.
@@ -250,6 +245,19 @@
     return survivedAt > crashTime ? PartStatus.LivedSince : PartStatus.LivedBefore;
   }
 
+  private convictGuiltyParts(now: Milliseconds): void {
+    if (!this.isReviewDue) return;
+    this.liftRefutedVerdicts(now);
+    this.isReviewDue = hasUnsettledCrash(this.records.values(), now);
+    for (;;) {
+      const guilty = findGuiltyPart(this.records.values(), this.verdicts.activeParts, now);
+      if (guilty === undefined) return;
+      this.verdicts.convict(guilty.part, now);
+      this.newConvictions.push(guilty);
+      this.noteVerdictChange();
+    }
+  }
+
   private liftRefutedVerdicts(now: Milliseconds): void {
     const records = this.records.values();
     for (const { part, state, at } of this.verdicts.values()) {
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -177,6 +177,18 @@
   t.end();
 });
 
+// Guards against BUDGET: requests are sent in the moment between the end of a pause and the review.
+t.test("a request with a part is refused as soon as the evidence is complete", (t) => {
+  const vm = new PromptQuarantine();
+  const admit = (now: number) => vm.admit(["deadly"], now, () => false).kind;
+  for (const at of [0, 500, 1_000]) vm.recordCrash(`target-${at}/1`, ["deadly"], at);
+  t.same(vm.review(1_950), []);
+  t.equal(admit(1_999), "paused");
+  t.equal(admit(2_001), "quarantined", "the next review is not awaited");
+  t.equal(vm.review(2_050).length, 1, "the review reports the verdict");
+  t.end();
+});
+
 t.test("reports of the same crash by several entry VMs count once", (t) => {
   const vms = [new PromptQuarantine(), new PromptQuarantine(), new PromptQuarantine()];
   for (const vm of vms) vm.recordCrash("target-1/1", ["part"], 0);
