Forget since when an engine has been empty once it is gone

Engines get a new name at each start, so that the times of those that left while they were empty were kept for ever. No change in which engines are on standby.

--- a/packages/placement/src/standby-engines.ts
+++ b/packages/placement/src/standby-engines.ts
@@ -17,25 +17,25 @@
 const vacancyLifetime: Milliseconds = 30_000;
 
 export class StandbyEngines {
-  private readonly emptySince = new Map<string, Milliseconds>();
+  private emptySince: ReadonlyMap<string, Milliseconds> = new Map();
   private readonly established = new Map<string, EstablishedCount>();
 
   /// Sets `isStandby` for the engines without layers. `engines` are all engines that may hold
   /// layers; those that load layers have them already.
   mark(engines: readonly PlacedEngine[], now: Milliseconds): readonly PlacedEngine[] {
     const vacancies = this.countVacancies(engines, now);
-    return engines.map((engine) => {
-      if (engine.layers !== undefined) {
-        this.emptySince.delete(engine.name);
-        return engine;
-      }
+    const emptySince = new Map<string, Milliseconds>();
+    const marked = engines.map((engine) => {
+      if (engine.layers !== undefined) return engine;
       const since = this.emptySince.get(engine.name) ?? now;
-      this.emptySince.set(engine.name, since);
+      emptySince.set(engine.name, since);
       const kind = describeKind(engine);
       const vacant = vacancies.get(kind) ?? 0;
       vacancies.set(kind, vacant - 1);
       return { ...engine, isStandby: vacant <= 0 && now - since < standbyTime };
     });
+    this.emptySince = emptySince;
+    return marked;
   }
 
   // The number of lost engines of each kind that have not been replaced.
