Revert "Give the replacement of a lost engine its layers without a standby time"

The likely reason, which no trace shows: each of three waves of crashes, five seconds apart, finds the replacements that have just loaded layers.

--- a/packages/placement/src/placement-controller.ts
+++ b/packages/placement/src/placement-controller.ts
@@ -6,7 +6,6 @@
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { Result } from "true-myth";
 import { planPlacement, type PlacedEngine } from "./planner.js";
-import { StandbyEngines } from "./standby-engines.js";
 
 /// The status that an engine reports. `born` identifies the start of its process, `orders` is
 /// the number of orders that it has accepted since.
@@ -55,11 +54,15 @@
 // because all engines start within a few seconds of each other.
 const stabilisationTime: Milliseconds = 900;
 
+// A new engine is on standby for this long. It exceeds the time between the start of a
+// replacement and the leaving notice of the engine that it replaces.
+const standbyTime: Milliseconds = 2_500;
+
 export class PlacementController {
   private readonly pendingOrders = new Map<string, PendingOrder>();
   private readonly acceptedOrders = new Map<string, OrderCount>();
   private readonly ordersInProgress = new Set<string>();
-  private readonly standbyEngines = new StandbyEngines();
+  private readonly emptySince = new Map<string, Milliseconds>();
   private engineCount = 0;
   private engineCountChangedAt: Milliseconds = 0;
 
@@ -78,9 +81,8 @@
     const isFirstPlan =
       engines.every(({ layers }) => layers === undefined) && this.pendingOrders.size === 0;
     if (isFirstPlan && now - this.engineCountChangedAt < stabilisationTime) return;
-    const expectedEngines = this.standbyEngines.mark(
-      engines.map((engine) => this.withPendingOrder(engine, now)),
-      now,
+    const expectedEngines = engines.map((engine) =>
+      this.withStandbyState(this.withPendingOrder(engine, now), now),
     );
     for (const { name, layers } of planPlacement(expectedEngines, model)) {
       const engine = engines.find((candidate) => candidate.name === name);
@@ -89,6 +91,16 @@
     }
   }
 
+  private withStandbyState(engine: PlacedEngine, now: Milliseconds): PlacedEngine {
+    if (engine.layers !== undefined) {
+      this.emptySince.delete(engine.name);
+      return engine;
+    }
+    const since = this.emptySince.get(engine.name) ?? now;
+    this.emptySince.set(engine.name, since);
+    return { ...engine, isStandby: now - since < standbyTime };
+  }
+
   private withPendingOrder(engine: EngineView, now: Milliseconds): PlacedEngine {
     const pending = this.pendingOrders.get(engine.name);
     if (pending === undefined) return engine;
