Do not give up a running stream that cannot be sent elsewhere

What callers saw: streams ended without the rest of their answer, or with 502, although the engines were sound and only silent for about a second.

Cause: when the first engine of a stream was silent, the entry VM aborted the dispatch and looked for another path after that. Without one, because the other holders of the layers were silent or doubted as well, an answer that had begun was ended after 1.5 s and one that had not begun was answered 502. The same happened if the retry budget was used up, or the bound on dispatches reached, between the check and the next dispatch. The answer that was given up would have gone on.

Now a dispatch is aborted only if there is a path whose first engine is within its limit, a dispatch is left, and the retry has been paid for. The class of fault: an answer that may still arrive is exchanged for one that cannot be had.

--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -90,9 +90,19 @@
     return this.chooseWithinLimits([...excluded, ...this.findRefusing()]);
   }
 
-  /// Whether there is a path without targets that recently refused requests.
+  /// Whether there is a path whose first target may take a request within its limit.
+  hasPath(excluded: readonly string[]): boolean {
+    const { targetRegistry, requestLimiter } = this.services;
+    const notFirst = targetRegistry
+      .getServingTargets(this.service.name)
+      .filter((target) => requestLimiter.check(target).kind === "denied")
+      .map(({ name }) => name);
+    return this.choose(undefined, excluded, new Set(notFirst)) !== undefined;
+  }
+
+  /// Like `hasPath`, without targets that recently refused requests.
   hasPathWithoutRefusing(excluded: readonly string[]): boolean {
-    return this.choose(undefined, [...excluded, ...this.findRefusing()]) !== undefined;
+    return this.hasPath([...excluded, ...this.findRefusing()]);
   }
 
   private findRefusing(): string[] {
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -71,6 +71,10 @@
   private executions = 0;
   /// Whether an engine may have run the request, even if no answer arrived.
   private mayHaveRun = false;
+  /// The number of dispatches so far, without the current one.
+  private dispatches = 0;
+  /// Whether the retry budget has been charged for the dispatch that replaces the current one.
+  private isReplacementPaid = false;
   private hasResponseHead = false;
   /// Whether an engine has written the answer for longer than its start.
   private hasLived = false;
@@ -92,7 +96,7 @@
     const { budget, clock } = services;
     budget.recordRequest(request.service.name, clock.monotonicTime());
     let reason = "";
-    for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
+    for (; this.dispatches < maximumDispatches; this.dispatches += 1) {
       this.assertCallerConnected();
       if (this.isQuarantined()) return;
       request.progress.recordWait();
@@ -109,12 +113,13 @@
         );
         return;
       }
-      if (dispatches >= maximumDispatchesBeforeBegin && !this.answer.hasBegun) break;
-      if (dispatches > 0 && !this.spendRetry()) {
+      if (this.dispatches >= this.maximumDispatches) break;
+      if (this.dispatches > 0 && !this.isReplacementPaid && !this.spendRetry()) {
         this.giveUp(ErrorKind.TargetUnreachable, "the retry budget is exhausted");
         return;
       }
       this.path = path;
+      this.isReplacementPaid = false;
       const outcome = await this.dispatch();
       if ("reason" in outcome) request.progress.recordFailure(outcome.reason);
       this.logDispatch(path, outcome);
@@ -150,6 +155,10 @@
     this.giveUp(ErrorKind.TargetUnreachable, reason);
   }
 
+  private get maximumDispatches(): number {
+    return this.answer.hasBegun ? maximumDispatches : maximumDispatchesBeforeBegin;
+  }
+
   private isRetryAllowed(): boolean {
     const { route } = this.request;
     return isRetryable(route) && this.executions < route.maximumAttempts;
@@ -487,27 +496,33 @@
     if (urgency === Urgency.Now) this.redispatch(urgency, excluded);
   }
 
-  // Aborts the current dispatch if the request may be dispatched again. Otherwise only the
-  // engines' own timeout for stalled parts can recover the answer.
+  // Aborts the current dispatch if the request can be dispatched again now. Otherwise the dispatch
+  // goes on, because a silent engine may continue after a second or so.
   private redispatch(urgency: Urgency, excluded: readonly string[]): void {
-    const { route, service } = this.request;
-    const { budget, clock, entryVmCount } = this.services;
+    const { route } = this.request;
+    if (this.dispatchAbort === undefined || this.dispatchAbort.signal.aborted) return;
     const executions = this.executions + (this.hasResponseHead ? 1 : 0);
     if (!isRetryable(route) || executions >= route.maximumAttempts) return;
-    if (
-      !budget.canSpend(service.name, entryVmCount(), clock.monotonicTime(), this.getRetryPurpose())
-    )
-      return;
+    if (this.dispatches + 1 >= this.maximumDispatches) return;
+    if (!this.canReplace(urgency, excluded) || !this.spendRetry()) return;
+    this.isReplacementPaid = true;
+    this.dispatchAbort.abort();
+  }
+
+  // An answer that has begun is not sent to engines that recently refused requests, as its next
+  // dispatch prefers others.
+  private canReplace(urgency: Urgency, excluded: readonly string[]): boolean {
+    const allExcluded = [...this.excludedTargets, ...excluded];
     switch (urgency) {
       case Urgency.WhileItRuns:
-        return;
+        return false;
       case Urgency.Soon:
-        if (!this.paths.hasPathWithoutRefusing(excluded)) return;
-        break;
+        return this.paths.hasPathWithoutRefusing(allExcluded);
       case Urgency.Now:
-        break;
+        return this.answer.hasBegun
+          ? this.paths.hasPathWithoutRefusing(allExcluded)
+          : this.paths.hasPath(allExcluded);
     }
-    this.dispatchAbort?.abort();
   }
 }
 
--- a/packages/limits/src/shared-retry-budget.ts
+++ b/packages/limits/src/shared-retry-budget.ts
@@ -53,17 +53,13 @@
   /// Returns whether a retry may be sent to `service`, and records it if so. `entryVms` is the
   /// number of entry VMs that share the slack.
   trySpend(service: string, entryVms: number, now: Milliseconds, purpose: RetryPurpose): boolean {
-    if (!this.canSpend(service, entryVms, now, purpose)) return false;
+    const { spent, allowance } = this.computeUsage(service, entryVms, now);
+    const share = purpose === RetryPurpose.Start ? beforeAnswerShare : 1;
+    if (spent + 1 > allowance * share) return false;
     pruneBefore(this.retryTimes, service, now - this.options.window).push(now);
     return true;
   }
 
-  /// Whether `trySpend` would allow a retry at `now`.
-  canSpend(service: string, entryVms: number, now: Milliseconds, purpose: RetryPurpose): boolean {
-    const { spent, allowance } = this.computeUsage(service, entryVms, now);
-    return spent + 1 <= allowance * (purpose === RetryPurpose.Start ? beforeAnswerShare : 1);
-  }
-
   /// Returns the services that have few retries left, for which this entry VM should borrow.
   findServicesRunningShort(entryVms: number, now: Milliseconds): string[] {
     return [...this.retryTimes.keys()].filter((service) => {
