A deeply nested value no longer ends the process that reads it

Operators saw machines that read the list of targets end again and again after another writer had left one very deeply nested entry. Here an array nested 100,000 deep ended the process of an entry VM, and again after each start.

Cause: V8's JSON parser takes any depth, JSON.stringify does not. The fault of an entry was described with JSON.stringify, whose RangeError left the callback of the feed and became an uncaught exception. Class of fault: code that walks a value from outside without a bound. Ruled out: the JSON parser and zod, which the stack does not show.

Parsing and writing JSON now go through parseJsonText and writeJsonText, which return a Result and accept 64 levels of nesting, so that no later code meets a deep value. Descriptions of faults quote a value in bounded length and depth and never throw, and the logger falls back to such a quote for fields without a JSON form.

Test "a deeply nested entry doesn't end the process" (a process of its own) fails before: RangeError: Maximum call stack size exceeded at JSON.stringify, formatValue; passes after. "a fault is described in bounded length, whatever the value" fails before with the same error; passes after.

--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -3,6 +3,7 @@
 import http from "node:http";
 import { Result } from "true-myth";
 import type { Milliseconds } from "./clock.js";
+import { parseJsonText, writeJsonText } from "./json-text.js";
 
 /// The endpoint of a request. Passing host and port avoids the cost of parsing a URL.
 export interface Endpoint {
@@ -118,15 +119,18 @@
 export async function exchangeJson(
   request: JsonRequest,
 ): Promise<Result<JsonResponse, ExchangeFailure>> {
+  const body = request.body === undefined ? undefined : writeJsonText(request.body);
+  if (body?.isErr === true)
+    return Result.err({ kind: "notSent", reason: `request body has no JSON form: ${body.error}` });
   const result = await exchange({
     ...request,
-    body: request.body === undefined ? undefined : JSON.stringify(request.body),
+    body: body?.value,
     headers: { "content-type": "application/json", ...request.headers },
   });
   return result.andThen((response) => {
-    const body = parseJsonBody(response.body.toString("utf8"));
-    if (body.isErr) return Result.err<JsonResponse, ExchangeFailure>(body.error);
-    return Result.ok<JsonResponse, ExchangeFailure>({ ...response, body: body.value });
+    const parsed = parseJsonBody(response.body.toString("utf8"));
+    if (parsed.isErr) return Result.err<JsonResponse, ExchangeFailure>(parsed.error);
+    return Result.ok<JsonResponse, ExchangeFailure>({ ...response, body: parsed.value });
   });
 }
 
@@ -146,9 +150,8 @@
 
 function parseJsonBody(text: string): Result<unknown, ExchangeFailure> {
   if (text === "") return Result.ok(null);
-  try {
-    return Result.ok(JSON.parse(text) as unknown);
-  } catch {
-    return Result.err({ kind: "malformed", reason: "response body is not JSON" });
-  }
+  return parseJsonText(text).mapErr((reason) => ({
+    kind: "malformed",
+    reason: `response body is not JSON: ${reason}`,
+  }));
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
 export { systemClock } from "./clock.js";
 export type { Clock, Milliseconds } from "./clock.js";
 export { LifecycleManager } from "./lifecycle-manager.js";
+export { parseJsonText, writeJsonText } from "./json-text.js";
 export { parseJson, validate, describeIssues } from "./validation.js";
 export type { ValidationIssue } from "./validation.js";
 export { exchange, exchangeJson, exchangeJsonWithRetry } from "./http-exchange.js";
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,6 +1,8 @@
 //! Structured logging: one JSON object per line. Lines go to standard error unless
 //! the caller passes a sink.
 import { createConsola, type LogObject } from "consola/core";
+import { writeJsonText } from "./json-text.js";
+import { quoteValue } from "./quote-value.js";
 
 /// Logs events with their fields. Events that concern a request have its identifier
 /// in the field `request`.
@@ -53,11 +55,8 @@
 
 function formatLine(instance: string, entry: LogObject): string {
   const [event, fields] = entry.args as [string, Record<string, unknown>];
-  return JSON.stringify({
-    time: entry.date.toISOString(),
-    level: entry.type,
-    instance,
-    event,
-    ...fields,
-  });
+  const head = { time: entry.date.toISOString(), level: entry.type, instance, event };
+  return writeJsonText({ ...head, ...fields }).unwrapOrElse((reason) =>
+    JSON.stringify({ ...head, fields: quoteValue(fields), reason }),
+  );
 }
--- a/packages/common/src/validation.ts
+++ b/packages/common/src/validation.ts
@@ -2,6 +2,8 @@
 //! before other code uses it.
 import { Result } from "true-myth";
 import type { z } from "zod";
+import { parseJsonText } from "./json-text.js";
+import { quoteValue, truncate } from "./quote-value.js";
 
 /// An error in a value: its path, the value found, and the value expected.
 export interface ValidationIssue {
@@ -10,36 +12,35 @@
   readonly wanted: string;
 }
 
-const maximumQuotedCharacters = 80;
+const maximumIssues = 100;
+const maximumDescribedCharacters = 2_000;
 
-/// Parses and validates `text`. Returns all issues, not only the first.
+/// Parses and validates `text`. Returns the issues as `validate` does.
 export function parseJson<T>(schema: z.ZodType<T>, text: string): Result<T, ValidationIssue[]> {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch {
-    return Result.err([{ path: "/", found: truncate(text), wanted: "JSON" }]);
-  }
-  return validate(schema, value);
+  return parseJsonText(text)
+    .mapErr((reason) => [{ path: "/", found: truncate(text), wanted: `JSON (${reason})` }])
+    .andThen((value) => validate(schema, value));
 }
 
-/// Validates a parsed value. Returns all issues, not only the first.
+/// Validates a parsed value. Returns all issues up to a bound, not only the first. Issues quote
+/// the value in a bounded form, whatever it is.
 export function validate<T>(schema: z.ZodType<T>, value: unknown): Result<T, ValidationIssue[]> {
   const parsed = schema.safeParse(value);
   if (parsed.success) return Result.ok(parsed.data);
-  const issues = parsed.error.issues.map((issue) => ({
-    path: `/${issue.path.map(String).join("/")}`,
-    found: formatValue(getValueAt(value, issue.path)),
-    wanted: issue.message,
+  const issues = parsed.error.issues.slice(0, maximumIssues).map((issue) => ({
+    path: truncate(`/${issue.path.map(String).join("/")}`),
+    found: quoteValue(getValueAt(value, issue.path)),
+    wanted: truncate(issue.message),
   }));
   return Result.err(issues);
 }
 
-/// Formats issues for people, one per line.
+/// Formats issues for people, one per line, up to a bounded length.
 export function describeIssues(issues: readonly ValidationIssue[]): string {
-  return issues
-    .map((issue) => `${issue.path}: found ${issue.found}, wanted ${issue.wanted}`)
-    .join("\n");
+  const lines = issues.map(
+    (issue) => `${issue.path}: found ${issue.found}, wanted ${issue.wanted}`,
+  );
+  return truncate(lines.join("\n"), maximumDescribedCharacters);
 }
 
 function getValueAt(value: unknown, path: readonly PropertyKey[]): unknown {
@@ -48,13 +49,3 @@
     return (inner as Record<PropertyKey, unknown>)[key];
   }, value);
 }
-
-function formatValue(value: unknown): string {
-  return value === undefined ? "nothing" : truncate(JSON.stringify(value));
-}
-
-function truncate(text: string): string {
-  return text.length <= maximumQuotedCharacters
-    ? text
-    : `${text.slice(0, maximumQuotedCharacters)}…`;
-}
--- a/packages/pipeline/src/engine-channel.ts
+++ b/packages/pipeline/src/engine-channel.ts
@@ -1,6 +1,6 @@
 //! The step channel to one engine: one long-lived HTTP exchange that the steps of many
 //! sequences share. Missing heartbeats, not TCP, detect an engine that does not answer.
-import { validate, type Milliseconds } from "@lovagebend/common";
+import { parseJson, type Milliseconds } from "@lovagebend/common";
 import http from "node:http";
 import { Result } from "true-myth";
 import { engineLine, type StepMessage, type StepOutput } from "./engine-protocol.js";
@@ -258,10 +258,6 @@
 }
 
 function parseLine(line: string) {
-  try {
-    const parsed = validate(engineLine, JSON.parse(line));
-    return parsed.isOk ? parsed.value : undefined;
-  } catch {
-    return undefined;
-  }
+  const parsed = parseJson(engineLine, line);
+  return parsed.isOk ? parsed.value : undefined;
 }
