--- a/packages/common/src/validation.ts
+++ b/packages/common/src/validation.ts
@@ -13,12 +13,12 @@
 }
 
 const maximumIssues = 100;
-const maximumDescribedCharacters = 2_000;
+const maximumDescribedCharacters = 16_384;
 
 /// Parses and validates `text`. Returns the issues as `validate` does.
 export function parseJson<T>(schema: z.ZodType<T>, text: string): Result<T, ValidationIssue[]> {
   return parseJsonText(text)
-    .mapErr((reason) => [{ path: "/", found: truncate(text), wanted: `JSON (${reason})` }])
+    .mapErr(() => [{ path: "/", found: truncate(text), wanted: "JSON" }])
     .andThen((value) => validate(schema, value));
 }
 
