--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -8,4 +8,9 @@
   type CallerLimits,
 } from "./route-table.js";
 export { type LayeredModel, type CardKind, type ServiceProfile } from "./service-profile.js";
-export { ListedState, type LayerRange, type ListedTarget } from "./listed-target.js";
+export {
+  ListedState,
+  maximumLayerCount,
+  type LayerRange,
+  type ListedTarget,
+} from "./listed-target.js";
--- a/packages/catalog/src/listed-target.ts
+++ b/packages/catalog/src/listed-target.ts
@@ -6,6 +6,10 @@
   Leaving = "leaving",
 }
 
+/// The number of layers that no model exceeds. The work of planning and of finding paths grows
+/// with the number of layers.
+export const maximumLayerCount = 1_024;
+
 /// A range of model layers; `end` is exclusive.
 export interface LayerRange {
   readonly first: number;
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -54,8 +54,8 @@
   timeout: idleSocketTimeout,
 });
 
-/// Sends `request` and reads the whole response. Network failures, timeouts and aborts
-/// are returned, not thrown.
+/// Sends `request` and reads the whole response. Never throws: network failures, timeouts,
+/// aborts and addresses that are not valid are returned.
 export function exchange(
   request: ExchangeRequest,
 ): Promise<Result<ExchangeResponse, ExchangeFailure>> {
@@ -68,8 +68,15 @@
       ...(request.signal === undefined ? {} : { signal: request.signal }),
       headers: { ...request.headers, ...createLengthHeader(request.body) },
     };
-    const outgoing =
-      typeof url === "string" ? http.request(url, options) : http.request({ ...options, ...url });
+    let outgoing: http.ClientRequest;
+    try {
+      outgoing =
+        typeof url === "string" ? http.request(url, options) : http.request({ ...options, ...url });
+    } catch (error) {
+      // An address or a header that Node does not accept.
+      resolve(Result.err({ kind: "notSent", reason: String(error) }));
+      return;
+    }
     const fail = (kind: ExchangeFailure["kind"], reason: string): void => {
       clearTimeout(timer);
       resolve(Result.err({ kind, reason }));
--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -63,16 +63,23 @@
     let isConnected = false;
     let connectionError: string | undefined;
     const agent = connections.chooseAgent(request.host, request.port, request.id);
-    const outgoing = http.request({
-      host: request.host,
-      port: request.port,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      agent: request.requiresNewConnection ? false : agent,
-      setHost: false,
-      signal: request.signal,
-    });
+    let outgoing: http.ClientRequest;
+    try {
+      outgoing = http.request({
+        host: request.host,
+        port: request.port,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        agent: request.requiresNewConnection ? false : agent,
+        setHost: false,
+        signal: request.signal,
+      });
+    } catch (error) {
+      // An address or a header that Node does not accept.
+      resolve({ kind: "notSent", reason: String(error) });
+      return;
+    }
     const fail = (reason: string): void => {
       connectionError = reason;
       clearTimeout(timer);
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -265,3 +265,10 @@
   const { send } = await startRawTarget((socket) => socket.end("garbage\r\n\r\n"));
   t.equal((await send("r")).kind, "unknown");
 });
+
+// Guards against an exception for a target whose address or name Node does not accept.
+t.test("a request that cannot be built is reported as not sent", async (t) => {
+  const { send } = await startRawTarget(() => undefined);
+  t.equal((await send("a", { port: 99_999 })).kind, "notSent");
+  t.equal((await send("b", { headers: { "expect-target": "a\nb" } })).kind, "notSent");
+});
