A second signal during a stop ends no request

What callers saw: a plain request in progress at an entry VM that is stopping ended with "socket hang up", without an answer, when the process got SIGTERM or SIGINT once more.

Cause: stop() returned at once when a stop was already under way. The main program takes the end of stop() for the end of the shutdown and calls process.exit.

Ruled out: the end of the grace period; in the test the request takes one second and the process exits at the second signal, after 0.2 s.

Fix: all calls of stop() return the promise of the one shutdown, so that the process exits when that has ended.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -23,7 +23,7 @@
 import type { Address, EntryDependencies } from "./entry-dependencies.js";
 
 /// `stop` is the graceful shutdown: it resolves when no request is in progress, or when
-/// the shutdown timeout has passed.
+/// the shutdown timeout has passed. Further calls return the same promise.
 export interface RunningEntryVm {
   stop(): Promise<void>;
 }
@@ -195,27 +195,26 @@
   });
   logger.info("started", { dataCentre: identity.dataCentre });
 
-  return {
-    async stop() {
-      if (isStopping) return;
-      const stopRequestedAt = clock.monotonicTime();
-      isStopping = true;
-      peers.stop();
-      logger.info("stopping", { inProgress: callerServer.inProgress });
-      await clock.sleep(dependencies.limits.drainDelay);
-      shouldRefuseRequests = true;
+  let stopped: Promise<void> | undefined;
+  const stop = async (): Promise<void> => {
+    const stopRequestedAt = clock.monotonicTime();
+    isStopping = true;
+    peers.stop();
+    logger.info("stopping", { inProgress: callerServer.inProgress });
+    await clock.sleep(dependencies.limits.drainDelay);
+    shouldRefuseRequests = true;
+    callerServer.server.closeIdleConnections();
+    while (
+      callerServer.inProgress > 0 &&
+      clock.monotonicTime() - stopRequestedAt < dependencies.limits.shutdownTimeout - exitMargin
+    ) {
+      await clock.sleep(stopPollInterval);
       callerServer.server.closeIdleConnections();
-      while (
-        callerServer.inProgress > 0 &&
-        clock.monotonicTime() - stopRequestedAt < dependencies.limits.shutdownTimeout - exitMargin
-      ) {
-        await clock.sleep(stopPollInterval);
-        callerServer.server.closeIdleConnections();
-      }
-      logger.info("stopped", { inProgress: callerServer.inProgress });
-      await lifecycle.close();
-    },
+    }
+    logger.info("stopped", { inProgress: callerServer.inProgress });
+    await lifecycle.close();
   };
+  return { stop: () => (stopped ??= stop()) };
 }
 
 async function handlePeerRequest(
