Log and count the eras of the store

A store that comes back from a copy gives its versions out again, and says so by a number in a header of each answer. Nothing here read it, so that a log could not tell such a return from an outage after which the history is gone: both show as "store regained" and "history forgotten".

A rise is logged once per process ("store restored", with both eras, who reported it and the versions that the tables had reached), an answer of an earlier era and an answer without the header after one with it are logged too. The gauge `store_era` and the counter `store_era_changes_total` show the same. Nothing else acts on the era yet.

--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -118,16 +118,23 @@
 export async function exchangeJson(
   request: JsonRequest,
 ): Promise<Result<JsonResponse, ExchangeFailure>> {
-  const result = await exchange({
+  return (await exchange(encodeJsonRequest(request))).andThen(parseJsonResponse);
+}
+
+/// The request that `exchangeJson` sends.
+export function encodeJsonRequest(request: JsonRequest): ExchangeRequest {
+  return {
     ...request,
     body: request.body === undefined ? undefined : JSON.stringify(request.body),
     headers: { "content-type": "application/json", ...request.headers },
-  });
-  return result.andThen((response) => {
-    const body = parseJsonBody(response.body.toString("utf8"));
-    if (body.isErr) return Result.err<JsonResponse, ExchangeFailure>(body.error);
-    return Result.ok<JsonResponse, ExchangeFailure>({ ...response, body: body.value });
-  });
+  };
+}
+
+/// Parses the body of a response as `exchangeJson` does.
+export function parseJsonResponse(
+  response: ExchangeResponse,
+): Result<JsonResponse, ExchangeFailure> {
+  return parseJsonBody(response.body.toString("utf8")).map((body) => ({ ...response, body }));
 }
 
 /// As `exchangeJson`, for idempotent requests: when the outcome is unknown, retries once
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,7 +7,13 @@
 export { LifecycleManager } from "./lifecycle-manager.js";
 export { parseJson, validate, describeIssues } from "./validation.js";
 export type { ValidationIssue } from "./validation.js";
-export { exchange, exchangeJson, exchangeJsonWithRetry } from "./http-exchange.js";
+export {
+  encodeJsonRequest,
+  exchange,
+  exchangeJson,
+  exchangeJsonWithRetry,
+  parseJsonResponse,
+} from "./http-exchange.js";
 export type {
   ExchangeFailure,
   ExchangeRequest,
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -122,6 +122,14 @@
     () => peers.findLiveEntryVms().length,
   );
 
+  metrics.addGauge("store_era", "Era of the store", () => dependencies.store.era.current);
+  const eraChanges = dependencies.store.era.changes.subscribe(() => {
+    metrics.recordEraChange();
+  });
+  lifecycle.addResource("store era", () => {
+    eraChanges.unsubscribe();
+  });
+
   const startServer = async (
     name: string,
     server: http.Server,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -20,6 +20,11 @@
     "Streams not ended whole",
     [],
   );
+  private readonly eraChanges = this.createCounter(
+    "store_era_changes_total",
+    "Times the store came back from a copy",
+    [],
+  );
   private readonly latency = new Histogram({
     name: "lovagebend_answer_seconds",
     help: "Time to the first byte of an answer",
@@ -42,6 +47,10 @@
     this.abortedStreams.inc();
   }
 
+  recordEraChange(): void {
+    this.eraChanges.inc();
+  }
+
   /// Adds a gauge whose value is read whenever the metrics are collected.
   addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -110,6 +110,15 @@
         });
       }),
     );
+    subscription.add(
+      store.era.changes.subscribe((change) => {
+        logger.warn("store restored", {
+          ...change,
+          documentVersion: this.replicas.document.version,
+          targetsVersion: this.replicas.targets.version,
+        });
+      }),
+    );
     return subscription;
   }
 
--- a/packages/entry/test/scripted-store.ts
+++ b/packages/entry/test/scripted-store.ts
@@ -1,6 +1,12 @@
 //! A row store in memory on a virtual clock, with outages.
 import type { Clock, Milliseconds } from "@lovagebend/common";
-import type { ChangeFeedResult, RowStore, StoredRow, TableSnapshot } from "@lovagebend/store";
+import {
+  StoreEra,
+  type ChangeFeedResult,
+  type RowStore,
+  type StoredRow,
+  type TableSnapshot,
+} from "@lovagebend/store";
 import { Result } from "true-myth";
 
 /// How the store treats a call that arrives, or is waiting, during an outage.
@@ -16,7 +22,10 @@
 const responseTimeout: Milliseconds = 800;
 const pollStep: Milliseconds = 20;
 
+const discard = (): undefined => undefined;
+
 export class ScriptedStore implements RowStore {
+  readonly era = new StoreEra({ info: discard, warn: discard, error: discard });
   private rows: (StoredRow & { readonly table: string })[] = [];
   private version = 0;
   private outage = Outage.None;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -7,4 +7,5 @@
   type TableChange,
   type FollowTableOptions,
 } from "./table-follower.js";
+export { initialEra, StoreEra, storeSource, type Era, type EraChange } from "./store-era.js";
 export { TableReplica } from "./table-replica.js";
--- a/packages/store/src/row-store.ts
+++ b/packages/store/src/row-store.ts
@@ -2,6 +2,7 @@
 //! removes single rows.
 import type { Milliseconds } from "@lovagebend/common";
 import type { Result } from "true-myth";
+import type { StoreEra } from "./store-era.js";
 
 /// A row of a table. `version` is the store's version at the row's last change; it grows
 /// with every transaction. `value` is `undefined` if the row was removed.
@@ -27,6 +28,8 @@
 /// No method throws; the error of a result is a text for the log. A failed write may have
 /// taken effect, or may still take effect later.
 export interface RowStore {
+  /// Kept current by every answer of the store, failures included.
+  readonly era: StoreEra;
   readTable(table: string): Promise<Result<TableSnapshot, string>>;
   /// A long poll: returns the changes after version `after`, or an empty result once `timeout`
   /// has passed without a change.
--- /dev/null
+++ b/packages/store/src/store-era.ts
@@ -0,0 +1,64 @@
+//! The era of the store: a number that rises each time the store comes back from a copy. Such
+//! a store has lost its latest transactions, and gives their versions out again.
+import type { Logger } from "@lovagebend/common";
+import { Subject, type Observable } from "rxjs";
+
+/// A store that names no era is in `initialEra`.
+export type Era = number;
+export const initialEra: Era = 0;
+
+/// `source` is who reported the new era: the store or a peer.
+export interface EraChange {
+  readonly before: Era;
+  readonly era: Era;
+  readonly source: string;
+}
+
+export const storeSource = "store";
+
+/// The highest era that this process has heard of. It never decreases.
+export class StoreEra {
+  private known: Era | undefined;
+  private doesStoreNameEra = false;
+  private readonly changesSubject = new Subject<EraChange>();
+
+  constructor(private readonly logger: Logger) {}
+
+  get current(): Era {
+    return this.known ?? initialEra;
+  }
+
+  /// Emits when the store has come back from a copy since this process started. The first era
+  /// that is reported is no change.
+  get changes(): Observable<EraChange> {
+    return this.changesSubject;
+  }
+
+  /// Records the era that an answer of the store names. An answer that names none counts as of
+  /// the current era. Returns the era of the answer, or `undefined` if the answer is late: of
+  /// an era before the current one.
+  observeAnswer(named: Era | undefined): Era | undefined {
+    if (this.doesStoreNameEra && named === undefined)
+      this.logger.warn("store names no era", { era: this.current });
+    this.doesStoreNameEra = named !== undefined;
+    const era = named ?? this.current;
+    if (era < this.current) {
+      this.logger.warn("late answer of the store", { era, current: this.current });
+      return undefined;
+    }
+    this.raise(era, storeSource);
+    return era;
+  }
+
+  /// Records an era that a peer has heard of.
+  observePeer(era: Era, peer: string): void {
+    this.raise(era, peer);
+  }
+
+  private raise(era: Era, source: string): void {
+    const before = this.known;
+    if (before !== undefined && era <= before) return;
+    this.known = era;
+    if (before !== undefined) this.changesSubject.next({ before, era, source });
+  }
+}
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -4,6 +4,7 @@
 import t from "tap";
 import {
   followTable,
+  StoreEra,
   TableReplica,
   type ChangeFeedResult,
   type TableSnapshot,
@@ -24,6 +25,7 @@
 
 // Returns the scripted results in order; later calls never settle.
 class ScriptedStore implements RowStore {
+  readonly era = new StoreEra(silentLogger);
   readonly requests: string[] = [];
   constructor(private readonly script: Result<TableSnapshot | ChangeFeedResult, string>[]) {}
   readTable(): Promise<Result<TableSnapshot, string>> {
