--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -126,19 +126,28 @@
 export async function exchangeJson(
   request: JsonRequest,
 ): Promise<Result<JsonResponse, ExchangeFailure>> {
-  const body = request.body === undefined ? undefined : writeJsonText(request.body);
-  if (body?.isErr === true)
-    return Result.err({ kind: "notSent", reason: `request body has no JSON form: ${body.error}` });
-  const result = await exchange({
-    ...request,
-    body: body?.value,
-    headers: { "content-type": "application/json", ...request.headers },
-  });
-  return result.andThen((response) => {
-    const parsed = parseJsonBody(response.body.toString("utf8"));
-    if (parsed.isErr) return Result.err<JsonResponse, ExchangeFailure>(parsed.error);
-    return Result.ok<JsonResponse, ExchangeFailure>({ ...response, body: parsed.value });
-  });
+  const encoded = encodeJsonRequest(request);
+  if (encoded.isErr) return Result.err(encoded.error);
+  return (await exchange(encoded.value)).andThen(parseJsonResponse);
+}
+
+/// The request that `exchangeJson` sends. Returns a failure if the body has no JSON form.
+export function encodeJsonRequest(request: JsonRequest): Result<ExchangeRequest, ExchangeFailure> {
+  const body = request.body === undefined ? Result.ok(undefined) : writeJsonText(request.body);
+  return body
+    .map((text) => ({
+      ...request,
+      body: text,
+      headers: { "content-type": "application/json", ...request.headers },
+    }))
+    .mapErr((reason) => ({ kind: "notSent", reason: `request body has no JSON form: ${reason}` }));
+}
+
+/// Parses the body of a response as `exchangeJson` does.
+export function parseJsonResponse(
+  response: ExchangeResponse,
+): Result<JsonResponse, ExchangeFailure> {
+  return parseJsonBody(response.body.toString("utf8")).map((body) => ({ ...response, body }));
 }
 
 /// As `exchangeJson`, for idempotent requests: when the outcome is unknown, retries once
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,7 +8,13 @@
 export { parseJsonText, writeJsonText } from "./json-text.js";
 export { parseJson, validate, describeIssues } from "./validation.js";
 export type { ValidationIssue } from "./validation.js";
-export { exchange, exchangeJson, exchangeJsonWithRetry } from "./http-exchange.js";
+export {
+  encodeJsonRequest,
+  exchange,
+  exchangeJson,
+  exchangeJsonWithRetry,
+  parseJsonResponse,
+} from "./http-exchange.js";
 export type {
   ExchangeFailure,
   ExchangeRequest,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -25,6 +25,11 @@
     "Requests whose connection ended before their answer was complete",
     ["stage", "closed_by"],
   );
+  private readonly eraChanges = this.createCounter(
+    "store_era_changes_total",
+    "Times the store came back from a copy",
+    [],
+  );
   private readonly latency = new Histogram({
     name: "lovagebend_answer_seconds",
     help: "Time to the first byte of an answer",
@@ -51,6 +56,10 @@
     this.unansweredRequests.inc({ stage, closed_by: closedBy });
   }
 
+  recordEraChange(): void {
+    this.eraChanges.inc();
+  }
+
   /// Adds a gauge whose value is read whenever the metrics are collected.
   addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
