Do not reset a whole answer because its engine is silent

What callers saw: a stream without a length that had arrived as a whole was reset, as if it had been broken off; on a route that may be resumed, its last event came twice.

Cause: the end of such a stream looks the same whether the engine has completed it or has ended itself, so the engine's report is read. No report within 150 ms counted as the end of the engine. A sound engine may be silent for a second, and one that has too many connections resets this one; an entry VM that is busy with new settings for longer than that does not read the report in time either.

Now a refused connection or a report of another process shows that the engine has ended. Without a usable report the query is repeated for up to 1.5 s, and only then does the engine count as ended. The queries after a broken start, which decide on the quarantine of prompts, are not repeated, because the next dispatch waits for them.

unfinished-answers.test.ts, "is complete if its engine falls silent", fails before: /draft/ is incomplete, /advice/ has the event twice; passes after, with the other 18 cases of the file and deadly-prompt.test.ts.

--- a/packages/attempts/src/crash-reporter.ts
+++ b/packages/attempts/src/crash-reporter.ts
@@ -1,13 +1,15 @@
 //! Reports the crash of a target with the prompts of the answers that were starting on it.
 //! A closed connection alone does not show that the target's process has ended, so the target
 //! is queried.
-import type { Clock, Logger } from "@lovagebend/common";
+import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { PromptQuarantine } from "@lovagebend/quarantine";
-import type { EngineCalls, RoutedRequest } from "./routed-request.js";
+import type { EngineCalls, ProcessState, RoutedRequest } from "./routed-request.js";
 import type { Target } from "./target-registry.js";
 
+const queryInterval: Milliseconds = 100;
+
 export class CrashReporter {
-  private readonly queries = new Map<string, Promise<boolean>>();
+  private readonly queries = new Map<string, Promise<ProcessState>>();
 
   constructor(
     private readonly engines: EngineCalls,
@@ -35,16 +37,30 @@
     });
   }
 
-  /// Whether the process of `target` has ended. Queries at the same time are shared.
-  hasEnded(target: Target): Promise<boolean> {
+  /// Whether the process of `target` has ended. A target without a usable answer counts as ended
+  /// if it gives none for longer than `patience`. Queries at the same time are shared.
+  async hasEnded(target: Target, patience: Milliseconds = 0): Promise<boolean> {
+    const deadline = this.clock.monotonicTime() + patience;
+    for (;;) {
+      const state = await this.queryProcess(target);
+      switch (state.kind) {
+        case "running":
+          return state.born !== target.born;
+        case "none":
+          return true;
+        case "unknown":
+          if (this.clock.monotonicTime() >= deadline) return true;
+          await this.clock.sleep(queryInterval);
+      }
+    }
+  }
+
+  private queryProcess(target: Target): Promise<ProcessState> {
     const existing = this.queries.get(target.name);
     if (existing !== undefined) return existing;
-    const query = this.engines
-      .readProcessStart(target)
-      .then((born) => !born.isOk || born.value !== target.born)
-      .finally(() => {
-        this.queries.delete(target.name);
-      });
+    const query = this.engines.readProcessState(target).finally(() => {
+      this.queries.delete(target.name);
+    });
     this.queries.set(target.name, query);
     return query;
   }
--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -16,5 +16,6 @@
   EngineCalls,
   Framing,
   PathChange,
+  ProcessState,
   RoutedRequest,
 } from "./routed-request.js";
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -67,11 +67,17 @@
   | { readonly kind: "refused"; readonly status: number; readonly target: string | undefined }
   | { readonly kind: "unknown"; readonly reason: string };
 
+/// The process that answers at a target's address. `born` is the wall-clock time in milliseconds
+/// at which it started. `none`: nothing listens there. `unknown`: no usable answer; the process
+/// may be silent, overloaded or unreachable.
+export type ProcessState =
+  | { readonly kind: "running"; readonly born: number }
+  | { readonly kind: "none" }
+  | { readonly kind: "unknown" };
+
 /// Calls to engines about running answers. No method throws.
 export interface EngineCalls {
-  /// Returns the wall-clock time in milliseconds at which the target's process started, or an
-  /// error if no process answers.
-  readProcessStart(target: EngineAddress): Promise<Result<number, string>>;
+  readProcessState(target: EngineAddress): Promise<ProcessState>;
   /// Returns, by request, the address (`host:port`) of the target that stalls the answer, for
   /// the answers whose first part runs on `target`.
   getStalledAnswers(target: EngineAddress): Promise<Result<ReadonlyMap<string, string>, string>>;
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -44,6 +44,8 @@
 // Callers abandon a stream after two seconds without an event.
 const resumeTimeout: Milliseconds = 1_500;
 const resumeInterval: Milliseconds = 100;
+// A sound engine may be silent for a second or so.
+const silenceTimeout: Milliseconds = 1_500;
 const noPathRetryAfterSeconds = 0.5;
 const refusedRetryAfterSeconds = 0.3;
 
@@ -431,6 +433,7 @@
         }
         hasEnd = true;
         if (isDelimited) this.start.recordCompletion();
+        watched.suspend();
         void this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
           if (isEndOfTarget) {
             resolveBroken("the target ended, and with it the stream without a length");
@@ -449,7 +452,7 @@
   // stream or has ended itself.
   private async isEndOfTarget(isDelimited: boolean): Promise<boolean> {
     if (isDelimited || this.dispatchTarget === undefined) return false;
-    return this.services.crashReporter.hasEnded(this.dispatchTarget);
+    return this.services.crashReporter.hasEnded(this.dispatchTarget, silenceTimeout);
   }
 
   /// Moves the answer off the `excluded` targets: to another path behind the same first engine
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -34,10 +34,12 @@
 
 /// `notSent`: no connection was established, so the server cannot have received the
 /// request. `unknown`: bytes may have been written, so the request may have taken effect.
-/// `malformed`: the response is too large or not JSON. `reason` is for people.
+/// `malformed`: the response is too large or not JSON. `reason` is for people. `isRefused` is set if
+/// nothing listens on the address.
 export interface ExchangeFailure {
   readonly kind: "notSent" | "unknown" | "malformed";
   readonly reason: string;
+  readonly isRefused: boolean;
 }
 
 /// A request with a JSON body, and the response with its parsed body.
@@ -69,13 +71,13 @@
     };
     const outgoing =
       typeof url === "string" ? http.request(url, options) : http.request({ ...options, ...url });
-    const fail = (kind: ExchangeFailure["kind"], reason: string): void => {
+    const fail = (kind: ExchangeFailure["kind"], reason: string, isRefused = false): void => {
       clearTimeout(timer);
-      resolve(Result.err({ kind, reason }));
+      resolve(Result.err({ kind, reason, isRefused }));
       outgoing.destroy();
     };
-    const failWithoutResponse = (reason: string): void => {
-      fail(isConnected ? "unknown" : "notSent", reason);
+    const failWithoutResponse = (reason: string, isRefused = false): void => {
+      fail(isConnected ? "unknown" : "notSent", reason, isRefused);
     };
     const timer = setTimeout(() => {
       failWithoutResponse(`no response within ${request.timeout} ms`);
@@ -89,8 +91,8 @@
         isConnected = true;
       });
     });
-    outgoing.on("error", (error) => {
-      failWithoutResponse(error.message);
+    outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      failWithoutResponse(error.message, error.code === "ECONNREFUSED");
     });
     outgoing.on("response", (incoming) => {
       const chunks: Buffer[] = [];
@@ -149,6 +151,7 @@
   try {
     return Result.ok(JSON.parse(text) as unknown);
   } catch {
-    return Result.err({ kind: "malformed", reason: "response body is not JSON" });
+    const reason = "response body is not JSON";
+    return Result.err({ kind: "malformed", reason, isRefused: false });
   }
 }
--- a/packages/daemon/src/service-call.ts
+++ b/packages/daemon/src/service-call.ts
@@ -219,7 +219,8 @@
   requiresNewConnection: boolean,
 ): Promise<Result<ExchangeResponse, ExchangeFailure>> {
   const target = router.settings.view.targets.get(replica.name);
-  if (target === undefined) return Result.err({ kind: "notSent", reason: "removed" });
+  if (target === undefined)
+    return Result.err({ kind: "notSent", reason: "removed", isRefused: false });
   router.fleet.adjustOpenAnswers(replica.name, 1);
   const outcome = await exchange({
     url: { host: target.host, port: target.port, path: call.path },
