--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -35,10 +35,12 @@
 
 /// `notSent`: no connection was established, so the server cannot have received the
 /// request. `unknown`: bytes may have been written, so the request may have taken effect.
-/// `malformed`: the response is too large or not JSON. `reason` is for people.
+/// `malformed`: the response is too large or not JSON. `reason` is for people. `isRefused` is set if
+/// nothing listens on the address.
 export interface ExchangeFailure {
   readonly kind: "notSent" | "unknown" | "malformed";
   readonly reason: string;
+  readonly isRefused: boolean;
 }
 
 /// A request with a JSON body, and the response with its parsed body.
@@ -74,16 +76,16 @@
         typeof url === "string" ? http.request(url, options) : http.request({ ...options, ...url });
     } catch (error) {
       // An address or a header that Node does not accept.
-      resolve(Result.err({ kind: "notSent", reason: String(error) }));
+      resolve(Result.err({ kind: "notSent", reason: String(error), isRefused: false }));
       return;
     }
-    const fail = (kind: ExchangeFailure["kind"], reason: string): void => {
+    const fail = (kind: ExchangeFailure["kind"], reason: string, isRefused = false): void => {
       clearTimeout(timer);
-      resolve(Result.err({ kind, reason }));
+      resolve(Result.err({ kind, reason, isRefused }));
       outgoing.destroy();
     };
-    const failWithoutResponse = (reason: string): void => {
-      fail(isConnected ? "unknown" : "notSent", reason);
+    const failWithoutResponse = (reason: string, isRefused = false): void => {
+      fail(isConnected ? "unknown" : "notSent", reason, isRefused);
     };
     const timer = setTimeout(() => {
       failWithoutResponse(`no response within ${request.timeout} ms`);
@@ -97,8 +99,8 @@
         isConnected = true;
       });
     });
-    outgoing.on("error", (error) => {
-      failWithoutResponse(error.message);
+    outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      failWithoutResponse(error.message, error.code === "ECONNREFUSED");
     });
     outgoing.on("response", (incoming) => {
       const chunks: Buffer[] = [];
@@ -140,7 +142,11 @@
       body: text,
       headers: { "content-type": "application/json", ...request.headers },
     }))
-    .mapErr((reason) => ({ kind: "notSent", reason: `request body has no JSON form: ${reason}` }));
+    .mapErr((reason) => ({
+      kind: "notSent",
+      reason: `request body has no JSON form: ${reason}`,
+      isRefused: false,
+    }));
 }
 
 /// Parses the body of a response as `exchangeJson` does.
@@ -169,5 +175,6 @@
   return parseJsonText(text).mapErr((reason) => ({
     kind: "malformed",
     reason: `response body is not JSON: ${reason}`,
+    isRefused: false,
   }));
 }
