Layers beyond a model's end no process and take no part in plans

An entry with layers from 0 to 2^53-1 ended the process of an entry VM: the planner counted the holders of each layer of the range, in an array that grew with it, and the search for a path walked each of its layers.

The search for a path ends at the model's last layer.

The new tests of the planner and of the path search don't end: both processes were killed after 12 s.

--- a/packages/attempts/src/engine-cost.ts
+++ b/packages/attempts/src/engine-cost.ts
@@ -2,7 +2,7 @@
 //! time of a decoding step with the answers in progress on the engine, multiplied by the
 //! congestion of its prefill and memory. Congestion follows the queueing formula
 //! 1 / (1 - utilisation), so the cost rises steeply as the engine approaches saturation.
-import type { LayeredModel } from "@lovagebend/catalog";
+import { isWithinModel, type LayeredModel } from "@lovagebend/catalog";
 import type { Milliseconds } from "@lovagebend/common";
 import type { LayerHolder } from "@lovagebend/routing";
 import type { Target } from "./target-registry.js";
@@ -27,7 +27,7 @@
 
 /// Estimates the costs of `target` as a part of a path. `sharingEntryVms` is the number of
 /// entry VMs, including this one, that are assumed to send it as much work as this one does.
-/// Returns `undefined` for a target that holds no layers or has an unknown card.
+/// Returns `undefined` for a target that holds no layers of the model or has an unknown card.
 export function estimateLayerHolder(
   target: Target,
   model: LayeredModel,
@@ -36,6 +36,7 @@
 ): LayerHolder | undefined {
   const card = target.card === undefined ? undefined : model.cards.get(target.card);
   if (card === undefined || target.layers === undefined) return undefined;
+  if (!isWithinModel(target.layers, model)) return undefined;
   const layerCount = target.layers.end - target.layers.first;
   const share = layerCount / model.layerCount;
   const stepTime = share * card.stepFactor * estimateFullStepTime(target, model, sharingEntryVms);
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -7,7 +7,12 @@
   type Workspace,
   type CallerLimits,
 } from "./route-table.js";
-export { type LayeredModel, type CardKind, type ServiceProfile } from "./service-profile.js";
+export {
+  isWithinModel,
+  type LayeredModel,
+  type CardKind,
+  type ServiceProfile,
+} from "./service-profile.js";
 export {
   ListedState,
   maximumLayerCount,
--- a/packages/catalog/src/service-profile.ts
+++ b/packages/catalog/src/service-profile.ts
@@ -1,6 +1,7 @@
 //! An operator's declaration of a service: its health check, its connection limit and, for a
 //! model that is split into layers, the cost of its layers.
 import type { Milliseconds } from "@lovagebend/common";
+import type { LayerRange } from "./listed-target.js";
 
 /// A kind of accelerator card. The factors multiply the model's decoding step times
 /// (`stepFactor`) and prefill times (`prefillFactor`) on the reference card.
@@ -33,6 +34,14 @@
   readonly cards: ReadonlyMap<string, CardKind>;
 }
 
+/// Whether `layers` are layers of `model`. An engine that reports others is of no use to it.
+export function isWithinModel(
+  layers: LayerRange,
+  model: Pick<LayeredModel, "layerCount">,
+): boolean {
+  return layers.first >= 0 && layers.first < layers.end && layers.end <= model.layerCount;
+}
+
 /// `maximumConnections` is the number of connections that one target accepts from all clients
 /// together.
 export interface ServiceProfile {
--- a/packages/entry/src/place-layers.ts
+++ b/packages/entry/src/place-layers.ts
@@ -1,9 +1,14 @@
 //! The control loop that places model layers on engines. One entry VM holds the placement
 //! role; when its gossip facts expire, another entry VM takes the role over.
 import type { TargetRegistry } from "@lovagebend/attempts";
-import { ListedState } from "@lovagebend/catalog";
+import { ListedState, type LayeredModel } from "@lovagebend/catalog";
 import type { Clock, Milliseconds } from "@lovagebend/common";
-import type { EngineView, EngineFailureDetector, PlacementController } from "@lovagebend/placement";
+import {
+  isUsableEngine,
+  type EngineView,
+  type EngineFailureDetector,
+  type PlacementController,
+} from "@lovagebend/placement";
 import type { ReplicatedState } from "./replicated-state.js";
 import type { Peers } from "./peers.js";
 
@@ -40,7 +45,9 @@
     if (!peers.hasRole(placementRole)) continue;
     const models = [...(replicatedState.routes?.services.values() ?? [])].flatMap(
       ({ name, model }) =>
-        model === undefined ? [] : [{ model, engines: findReadyEngines(targetRegistry, name) }],
+        model === undefined
+          ? []
+          : [{ model, engines: findReadyEngines(targetRegistry, name, model) }],
     );
     const engineNames = new Set(models.flatMap(({ engines }) => engines.map(({ name }) => name)));
     engineFailureDetector.retainEngines([...engineNames]);
@@ -59,11 +66,16 @@
   }
 }
 
-function findReadyEngines(targetRegistry: TargetRegistry, service: string): EngineView[] {
+function findReadyEngines(
+  targetRegistry: TargetRegistry,
+  service: string,
+  model: LayeredModel,
+): EngineView[] {
   return targetRegistry
     .getListedTargets(service)
     .filter(({ state }) => state === ListedState.Ready)
     .flatMap(({ name, dataCentre, card, layers, born }) =>
       card === undefined ? [] : [{ name, dataCentre, card, layers, born }],
-    );
+    )
+    .filter((engine) => isUsableEngine(engine, model));
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,6 +1,6 @@
 //! Placement of model layers on engines: a pure planning function, the task that orders
 //! engines to load the planned layers, and the detection of lost engines.
-export { planPlacement, type Placement, type PlacedEngine } from "./planner.js";
+export { isUsableEngine, planPlacement, type Placement, type PlacedEngine } from "./planner.js";
 export { countFittingLayers } from "./layer-capacity.js";
 export { EngineFailureDetector } from "./engine-failure-detector.js";
 export {
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -5,7 +5,7 @@
 //!
 //! The plan is stable: an engine keeps its layers unless some layer has no holder. The plan
 //! is deterministic: the same input gives the same plan on every entry VM.
-import type { LayeredModel, LayerRange } from "@lovagebend/catalog";
+import { isWithinModel, type LayeredModel, type LayerRange } from "@lovagebend/catalog";
 import { countFittingLayers } from "./layer-capacity.js";
 
 /// An engine that the plan may use. `layers` is the range that it holds or is loading. A
@@ -19,6 +19,14 @@
   readonly isStandby?: boolean;
 }
 
+/// Whether an engine has a card of the model and no layers beyond the model's.
+export function isUsableEngine(
+  { card, layers }: Pick<PlacedEngine, "card" | "layers">,
+  model: LayeredModel,
+): boolean {
+  return model.cards.has(card) && (layers === undefined || isWithinModel(layers, model));
+}
+
 /// The layers that the named engine should load.
 export interface Placement {
   readonly name: string;
@@ -43,14 +51,15 @@
 }
 
 /// Returns the layers to load on each engine whose layers should change; an engine that
-/// keeps its layers has no entry.
+/// keeps its layers has no entry. Engines that are not usable for the model have none either.
 export function planPlacement(
   engines: readonly PlacedEngine[],
   model: LayeredModel,
 ): readonly Placement[] {
+  const usable = engines.filter((engine) => isUsableEngine(engine, model));
   const globalCounts = new ReplicaCounts(model.layerCount);
-  for (const { layers } of engines) if (layers !== undefined) globalCounts.add(layers);
-  return groupByReplica(engines, model).flatMap((group) => planGroup(group, model, globalCounts));
+  for (const { layers } of usable) if (layers !== undefined) globalCounts.add(layers);
+  return groupByReplica(usable, model).flatMap((group) => planGroup(group, model, globalCounts));
 }
 
 /// The number of engines that hold each layer.
--- a/packages/placement/test/planner.test.ts
+++ b/packages/placement/test/planner.test.ts
@@ -174,3 +174,26 @@
   );
   t.end();
 });
+
+// Guards against a range of layers far beyond the model's, for which an array of its size was
+// allocated; that ended the process.
+t.test("engines with layers beyond the model's or an unknown card don't change the plan", (t) => {
+  const odd = (name: string, card: string, layers: LayerRange | undefined): PlacedEngine => ({
+    name,
+    dataCentre: "north",
+    card,
+    layers,
+  });
+  const oddEngines = [
+    odd("a", "large", { first: 0, end: Number.MAX_SAFE_INTEGER }),
+    odd("b", "large", { first: 0, end: 81 }),
+    odd("c", "large", { first: 9, end: 3 }),
+    odd("d", "unknown", { first: 0, end: 80 }),
+    odd("e", "unknown", undefined),
+  ];
+  t.same(
+    planPlacement([...oddEngines, ...emptyEngines], model),
+    planPlacement(emptyEngines, model),
+  );
+  t.end();
+});
--- a/packages/routing/src/layer-path.ts
+++ b/packages/routing/src/layer-path.ts
@@ -90,7 +90,8 @@
   const timePerCrossing =
     partialPath.parts.length === 0 ? query.entryCrossingTime : query.crossingTime;
   const addedCrossingTime = holder.dataCentre === partialPath.dataCentre ? 0 : timePerCrossing;
-  for (let end = first + 1; end <= holder.layers.end; end += 1) {
+  const last = Math.min(holder.layers.end, query.layers);
+  for (let end = first + 1; end <= last; end += 1) {
     if (end !== holder.layers.end && !starts.has(end)) continue;
     const time =
       partialPath.time + addedCrossingTime + holder.visitTime + (end - first) * holder.layerTime;
--- a/packages/routing/test/layer-path.test.ts
+++ b/packages/routing/test/layer-path.test.ts
@@ -80,3 +80,10 @@
   t.equal(path(parts, { maximumParts: 4 }), "p0:0-2 p2:2-4 p4:4-6 p6:6-8");
   t.end();
 });
+
+// Guards against a search through each layer of a range far beyond the model's, which never ends.
+t.test("a holder whose range exceeds the model's layers is not searched beyond them", (t) => {
+  t.equal(path([holder("a", 0, Number.MAX_SAFE_INTEGER)]), "none");
+  t.equal(path([holder("a", 0, Number.MAX_SAFE_INTEGER), holder("b", 0, 8)]), "b:0-8");
+  t.end();
+});
