Requests in progress at the end of a stop are answered, not cut

What callers saw: requests that an entry VM had passed on, before or during a planned stop, and whose target was still at work at the end of the grace period, ended with a closed connection and no answer. No log line named them. Requests that may not be repeated were among them.

Cause: at the end of the grace period, stop() closed all connections of callers and targets. Nothing told the requests in progress that they end.

Ruled out: requests that were not passed on.

Fix: 600 ms before the kill the signal of each request aborts, with the stop as its reason. It already ends the work at targets when a caller leaves; now it also yields an answer: 504 if a target may have run the request, 503 if not, and an incomplete end for a stream that has begun. No request is offered after it, and no target is suspected for it. stop() then waits until callers have received these answers, at most until 200 ms before the kill. The time until which requests run is 200 ms shorter than before. A stream is also checked once its path is found, since a signal that aborts during the search would not have stopped the dispatch.

Each request that is ended has a line "request ended by stop" with its route, kind and progress, and "stopped" counts them.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -6,6 +6,7 @@
 import { responseHeaders, requestHeaders, readBody, sendToTarget } from "@lovagebend/forwarding";
 import { RetryPurpose } from "@lovagebend/limits";
 import { chooseReplica } from "./choose-replica.js";
+import { createEndError, isEndedByStop } from "./request-end.js";
 import type { LimitOutcome } from "./request-limiter.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest, Framing } from "./routed-request.js";
 import type { Target, TargetRegistry } from "./target-registry.js";
@@ -50,7 +51,7 @@
   let lastOutcome: DispatchOutcome | undefined;
   let limitRetryAfter: Milliseconds | undefined;
   for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
-    if (request.signal.aborted) throw new RouterError(ErrorKind.CallerGone, RunState.Unknown);
+    if (request.signal.aborted) throw createEndError(request.signal, executions > 0);
     const choice = await chooseWithinLimits(request, triedTargets, dispatches === 0, services);
     if (choice.kind === "none") {
       limitRetryAfter = choice.limitRetryAfter;
@@ -102,7 +103,7 @@
       targetRegistry.recordRefusal(target.name);
       continue;
     }
-    targetRegistry.suspect(target.name, outcome.reason);
+    if (!isEndedByStop(request.signal)) targetRegistry.suspect(target.name, outcome.reason);
     executions += 1;
     if (!canRetry || executions >= route.maximumAttempts) break;
     if (!isTimeLeft(request, services)) break;
@@ -114,6 +115,7 @@
       `Service ${service.name}.`,
       limitRetryAfter / 1_000,
     );
+  if (request.signal.aborted) throw createEndError(request.signal, executions > 0);
   throw createError(request, lastOutcome, services);
 }
 
@@ -155,7 +157,6 @@
   lastOutcome: DispatchOutcome | undefined,
   services: AttemptServices,
 ): RouterError {
-  if (request.signal.aborted) return new RouterError(ErrorKind.CallerGone, RunState.Unknown);
   if (lastOutcome === undefined || lastOutcome.kind === "notRun") {
     const reason = lastOutcome?.reason ?? "the service has no listed target";
     return new RouterError(
--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -2,6 +2,7 @@
 //! failure. Also keeps this entry VM's registry of targets with their health and load.
 export { TargetRegistry, type Target } from "./target-registry.js";
 export { answerBuffered } from "./buffered-answer.js";
+export { createEndError, isEndedByStop, RequestEnd, stoppingRetrySeconds } from "./request-end.js";
 export { answerStreaming } from "./streaming-answer.js";
 export { estimateLayerHolder } from "./engine-cost.js";
 export { findUnresponsiveTargets, type WatchedStream } from "./unresponsive-targets.js";
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -18,8 +18,8 @@
 import type { TargetRegistry } from "./target-registry.js";
 
 /// A caller's request with its route and service. `deadline` is a time of the monotonic
-/// clock, the earlier of the caller's and the route's deadlines. `signal` aborts when the
-/// caller disconnects. `tokens` counts the prompt and the maximum answer, `promptTokens` only
+/// clock, the earlier of the caller's and the route's deadlines. `signal` aborts with a
+/// `RequestEnd`. `tokens` counts the prompt and the maximum answer, `promptTokens` only
 /// the prompt. `sharedPromptParts` are the identifiers of the parts of the prompt that other
 /// requests may have in common with it, in the order of the prompt; its last part is its own.
 export interface RoutedRequest extends ForwardedRequest {
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -17,6 +17,7 @@
 import type { PathPart } from "@lovagebend/routing";
 import type http from "node:http";
 import { AnswerStart } from "./answer-start.js";
+import { createEndError, isEndedByStop, RequestEnd } from "./request-end.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
 import { StreamPaths } from "./stream-paths.js";
 import type { Target } from "./target-registry.js";
@@ -93,7 +94,7 @@
     budget.recordRequest(request.service.name, clock.monotonicTime());
     let reason = "";
     for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
-      this.assertCallerConnected();
+      if (this.isEnded()) return;
       if (this.isQuarantined()) return;
       const path = await this.findPath();
       const { limitRetryAfter } = this.paths;
@@ -113,6 +114,8 @@
         this.giveUp(ErrorKind.TargetUnreachable, "the retry budget is exhausted");
         return;
       }
+      // The signal may have aborted while the path was being found.
+      if (this.isEnded()) return;
       this.path = path;
       const outcome = await this.dispatch();
       this.logDispatch(path, outcome);
@@ -236,15 +239,26 @@
     this.services.targetRegistry.suspect(first, reason);
   }
 
-  private assertCallerConnected(): void {
-    if (this.request.signal.aborted) throw new RouterError(ErrorKind.CallerGone, RunState.Unknown);
+  // Whether the request has ended. Breaks an answer off that has begun; throws if none has begun
+  // or if the caller has left.
+  private isEnded(): boolean {
+    const { signal } = this.request;
+    if (!signal.aborted) return false;
+    if (!this.answer.hasBegun || !isEndedByStop(signal))
+      throw createEndError(signal, this.mayHaveRun);
+    this.breakOff(ErrorKind.StoppedUnanswered, RequestEnd.VmStopping);
+    return true;
+  }
+
+  private breakOff(kind: ErrorKind, reason: string): void {
+    this.services.logger.warn("stream broken off", { request: this.request.id, kind, reason });
+    this.answer.abort();
   }
 
   private giveUp(kind: ErrorKind, reason: string, retryAfterSeconds?: number): void {
-    this.assertCallerConnected();
+    if (this.isEnded()) return;
     if (this.answer.hasBegun) {
-      this.services.logger.warn("stream broken off", { request: this.request.id, kind, reason });
-      this.answer.abort();
+      this.breakOff(kind, reason);
       return;
     }
     if (!this.mayHaveRun) {
--- a/packages/common/src/error-kind.ts
+++ b/packages/common/src/error-kind.ts
@@ -25,6 +25,7 @@
   KeyReused = "key_reused",
   StoreUnavailable = "store_unavailable",
   Stopping = "stopping",
+  StoppedUnanswered = "stopped_unanswered",
   AnswerInterrupted = "answer_interrupted",
   ResumeInvalid = "resume_invalid",
   SettingsConflict = "settings_conflict",
@@ -157,6 +158,11 @@
     RetryAdvice.AfterDelay,
     "This entry VM is stopping.",
   ),
+  [ErrorKind.StoppedUnanswered]: createErrorResponse(
+    504,
+    RetryAdvice.AfterDelay,
+    "This entry VM stopped before the target answered; the request may have run.",
+  ),
   [ErrorKind.AnswerInterrupted]: createErrorResponse(
     503,
     RetryAdvice.Resume,
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -4,6 +4,10 @@
 import {
   answerBuffered,
   answerStreaming,
+  createEndError,
+  isEndedByStop,
+  RequestEnd,
+  stoppingRetrySeconds,
   type AttemptServices,
   type RoutedRequest,
 } from "@lovagebend/attempts";
@@ -19,15 +23,14 @@
 import http from "node:http";
 import { HttpCallerAnswer } from "./caller-answer.js";
 import { hasCallerLeft } from "./caller-presence.js";
+import type { GracefulStop } from "./graceful-stop.js";
 import type { EntryMetrics } from "./metrics.js";
 import type { ReplicatedState } from "./replicated-state.js";
 
 export interface CallerServerServices extends AttemptServices {
   readonly replicatedState: ReplicatedState;
   readonly metrics: EntryMetrics;
-  readonly isStopping: () => boolean;
-  /// Whether new requests are refused, because they could not be answered before shutdown.
-  readonly shouldRefuseRequests: () => boolean;
+  readonly gracefulStop: GracefulStop;
 }
 
 // The limit on the size of headers. It is fixed when the server is created, so the operator's
@@ -37,8 +40,6 @@
 // answer.
 const requestReadTimeout: Milliseconds = 20_000;
 const unknownSettingsRetrySeconds = 0.5;
-// Short, because the caller's next connection reaches another entry VM.
-const stoppingRetrySeconds = 0.05;
 const maximumIdentifierLength = 200;
 const maximumPartIdentifierLength = 64;
 const maximumSharedParts = 32;
@@ -46,7 +47,9 @@
 /// Serves callers and counts the requests in progress, for which a graceful shutdown waits.
 export class CallerServer {
   readonly server: http.Server;
-  private readonly openResponses = new Set<http.ServerResponse>();
+  /// The responses in progress, with the controllers that end their requests.
+  private readonly openResponses = new Map<http.ServerResponse, AbortController>();
+  private endedByStop = 0;
 
   constructor(private readonly services: CallerServerServices) {
     this.server = http.createServer(
@@ -61,6 +64,18 @@
     return this.openResponses.size;
   }
 
+  /// The number of requests that a stop has ended before they were answered.
+  get endedRequests(): number {
+    return this.endedByStop;
+  }
+
+  /// Ends the requests in progress: each gets an error as its answer, or, if its answer has begun,
+  /// an incomplete one. Complete answers that are being sent are not affected.
+  endRequests(): void {
+    for (const [response, controller] of this.openResponses)
+      if (!response.writableEnded) controller.abort(RequestEnd.VmStopping);
+  }
+
   /// Applies the operator's time limits to connections from now on.
   applyLimits(table: RouteTable): void {
     this.server.keepAliveTimeout = table.limits.idleTimeout;
@@ -71,19 +86,24 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const { clock, isStopping, logger, metrics } = this.services;
+    const { clock, gracefulStop, logger, metrics } = this.services;
     const receivedAt = clock.monotonicTime();
-    const callerDisconnect = new AbortController();
-    this.openResponses.add(response);
+    const controller = new AbortController();
+    this.openResponses.set(response, controller);
     response.on("error", () => undefined);
     response.on("close", () => {
       this.openResponses.delete(response);
-      if (!response.writableFinished) callerDisconnect.abort();
+      if (!response.writableFinished) controller.abort(RequestEnd.CallerGone);
     });
-    const answer = new HttpCallerAnswer(response, () => clock.monotonicTime(), isStopping);
+    const answer = new HttpCallerAnswer(
+      response,
+      () => clock.monotonicTime(),
+      () => gracefulStop.isStopping,
+    );
     let routed: RoutedRequest | undefined;
+    let refusal: RouterError | undefined;
     try {
-      routed = await this.route(request, receivedAt, callerDisconnect.signal);
+      routed = await this.route(request, receivedAt, controller.signal);
       if (await hasCallerLeft(request))
         throw new RouterError(ErrorKind.CallerGone, RunState.NotRun);
       await this.answer(routed, answer);
@@ -91,6 +111,7 @@
       const routerError = error instanceof RouterError ? error : toInternalError(error);
       if (routerError.kind === ErrorKind.Internal)
         logger.error("request failed", { detail: String(error) });
+      refusal = routerError;
       this.refuse(request, response, routerError, routed?.route);
     }
     if (answer.firstByteAt !== undefined && routed !== undefined)
@@ -100,6 +121,25 @@
         (answer.firstByteAt - receivedAt) / 1_000,
       );
     if (answer.isAborted) metrics.recordAbortedStream();
+    if (isEndedByStop(controller.signal) && (refusal !== undefined || answer.isAborted))
+      this.recordEndByStop(request, routed, refusal);
+  }
+
+  // Without a refusal, the answer had begun.
+  private recordEndByStop(
+    request: http.IncomingMessage,
+    routed: RoutedRequest | undefined,
+    refusal: RouterError | undefined,
+  ): void {
+    const { logger, headerNames } = this.services;
+    this.endedByStop += 1;
+    logger.warn("request ended by stop", {
+      request: request.headers[headerNames.requestId],
+      route: routed?.route.name,
+      kind: routed?.route.kind,
+      progress: findProgress(routed, refusal),
+      status: refusal === undefined ? "incomplete" : getErrorResponse(refusal.kind).status,
+    });
   }
 
   private async route(
@@ -108,14 +148,17 @@
     signal: AbortSignal,
   ): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
-    if (this.services.shouldRefuseRequests())
+    if (this.services.gracefulStop.shouldRefuseRequests)
       throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
     const initialTable = replicatedState.routes;
     if (initialTable === undefined) {
       const kind = ErrorKind.SettingsUnknown;
       throw new RouterError(kind, RunState.NotRun, "", unknownSettingsRetrySeconds);
     }
-    const body = await readBody(request, initialTable.limits.maximumBodyBytes);
+    const body = await Promise.race([
+      readBody(request, initialTable.limits.maximumBodyBytes),
+      rejectOnEnd(signal),
+    ]);
     if (body.isErr) throw body.error;
     // The settings may have changed while the body was being received.
     const table = replicatedState.routes ?? initialTable;
@@ -191,7 +234,7 @@
     const headers: http.OutgoingHttpHeaders = { "content-type": "application/json" };
     if (error.retryAfterSeconds !== undefined)
       headers["retry-after"] = String(error.retryAfterSeconds);
-    if (!request.complete || this.services.isStopping()) headers.connection = "close";
+    if (!request.complete || this.services.gracefulStop.isStopping) headers.connection = "close";
     const body = JSON.stringify({
       error: { kind: error.kind, run: error.run, message: error.message },
     });
@@ -247,6 +290,23 @@
   return [...new Set(shared)].slice(0, maximumSharedParts);
 }
 
+function findProgress(
+  routed: RoutedRequest | undefined,
+  refusal: RouterError | undefined,
+): "reading" | "not offered" | "offered" | "answering" {
+  if (routed === undefined) return "reading";
+  if (refusal === undefined) return "answering";
+  return refusal.run === RunState.NotRun ? "not offered" : "offered";
+}
+
+function rejectOnEnd(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    signal.addEventListener("abort", () => {
+      reject(createEndError(signal, false));
+    });
+  });
+}
+
 function toInternalError(error: unknown): RouterError {
   return new RouterError(ErrorKind.Internal, RunState.Unknown, String(error));
 }
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -21,9 +21,10 @@
 import { exchangeRetryLoans } from "./retry-loans.js";
 import { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { Address, EntryDependencies } from "./entry-dependencies.js";
+import { GracefulStop } from "./graceful-stop.js";
 
-/// `stop` is the graceful shutdown: it resolves when no request is in progress, or when
-/// the shutdown timeout has passed. Further calls return the same promise.
+/// `stop` is the graceful shutdown: it resolves when no request is in progress, or shortly
+/// before the shutdown timeout. Further calls return the same promise.
 export interface RunningEntryVm {
   stop(): Promise<void>;
 }
@@ -37,9 +38,6 @@
 // The number of entry VMs in each data centre that poll the store for each change. With four,
 // one remains when two entry VMs fail and the store refuses a third of all entry VMs.
 const directFollowersPerDataCentre = 4;
-const stopPollInterval: Milliseconds = 50;
-// Reserved at the end of the shutdown timeout for the process itself to exit.
-const exitMargin: Milliseconds = 400;
 
 /// Starts an entry VM. Throws if it cannot listen on one of its addresses; then none of its
 /// servers remains.
@@ -71,8 +69,7 @@
   };
   replicatedState.shouldFollowDirectly = () =>
     peers.isAmongFirst(directFeedRole, directFollowersPerDataCentre);
-  let isStopping = false;
-  let shouldRefuseRequests = false;
+  const gracefulStop = new GracefulStop(dependencies.limits, clock, logger);
   const services: CallerServerServices = {
     clock,
     logger,
@@ -93,13 +90,14 @@
     formatPath: dependencies.formatPath,
     replicatedState,
     metrics,
-    isStopping: () => isStopping,
-    shouldRefuseRequests: () => shouldRefuseRequests,
+    gracefulStop,
   };
   const callerServer = new CallerServer(services);
   const readinessServer = http.createServer((request, response) => {
     const isReady =
-      request.url === identity.readinessPath && replicatedState.isComplete && !isStopping;
+      request.url === identity.readinessPath &&
+      replicatedState.isComplete &&
+      !gracefulStop.isStopping;
     response.writeHead(isReady ? 200 : 503, { "content-length": 0 }).end();
   });
   const peerServer = http.createServer((request, response) => {
@@ -197,21 +195,8 @@
 
   let stopped: Promise<void> | undefined;
   const stop = async (): Promise<void> => {
-    const stopRequestedAt = clock.monotonicTime();
-    isStopping = true;
     peers.stop();
-    logger.info("stopping", { inProgress: callerServer.inProgress });
-    await clock.sleep(dependencies.limits.drainDelay);
-    shouldRefuseRequests = true;
-    callerServer.server.closeIdleConnections();
-    while (
-      callerServer.inProgress > 0 &&
-      clock.monotonicTime() - stopRequestedAt < dependencies.limits.shutdownTimeout - exitMargin
-    ) {
-      await clock.sleep(stopPollInterval);
-      callerServer.server.closeIdleConnections();
-    }
-    logger.info("stopped", { inProgress: callerServer.inProgress });
+    await gracefulStop.run(callerServer);
     await lifecycle.close();
   };
   return { stop: () => (stopped ??= stop()) };
--- /dev/null
+++ b/packages/entry/src/graceful-stop.ts
@@ -0,0 +1,60 @@
+//! The phases of a graceful stop. New requests are accepted at first, since the load balancer
+//! still sends some, and then refused. The requests in progress go on until the last moment at
+//! which an answer of the router's own still reaches the caller before the process is killed.
+import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
+import type { CallerServer } from "./caller-server.js";
+import type { EntryLimits } from "./entry-dependencies.js";
+
+const pollInterval: Milliseconds = 50;
+// Reserved at the end of the shutdown timeout for ending the requests in progress and for callers
+// to receive their answers, also on a machine several times slower than usual.
+const endMargin: Milliseconds = 600;
+// Reserved for the process itself to exit.
+const exitMargin: Milliseconds = 200;
+
+export class GracefulStop {
+  private requestedAt: Milliseconds = Infinity;
+
+  constructor(
+    private readonly limits: Pick<EntryLimits, "shutdownTimeout" | "drainDelay">,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  get isStopping(): boolean {
+    return this.requestedAt !== Infinity;
+  }
+
+  /// Whether requests that have not been offered to a target are refused.
+  get shouldRefuseRequests(): boolean {
+    const refusesFrom = Math.min(this.requestedAt + this.limits.drainDelay, this.endsRequestsAt);
+    return this.clock.monotonicTime() >= refusesFrom;
+  }
+
+  /// When the requests in progress are ended. Infinite unless the entry VM is stopping.
+  get endsRequestsAt(): Milliseconds {
+    return this.requestedAt + Math.max(0, this.limits.shutdownTimeout - endMargin);
+  }
+
+  /// Resolves when no request is in progress after the drain delay, or, shortly before the
+  /// shutdown timeout, when all requests have been ended and callers had time to read the answers.
+  async run(callerServer: CallerServer): Promise<void> {
+    const { clock, logger, limits } = this;
+    this.requestedAt = clock.monotonicTime();
+    const exitsAt = this.requestedAt + limits.shutdownTimeout - exitMargin;
+    logger.info("stopping", { inProgress: callerServer.inProgress });
+    await clock.sleep(Math.min(limits.drainDelay, this.endsRequestsAt - this.requestedAt));
+    callerServer.server.closeIdleConnections();
+    while (callerServer.inProgress > 0 && clock.monotonicTime() < this.endsRequestsAt) {
+      await clock.sleep(pollInterval);
+      callerServer.server.closeIdleConnections();
+    }
+    callerServer.endRequests();
+    while (callerServer.inProgress > 0 && clock.monotonicTime() < exitsAt)
+      await clock.sleep(pollInterval);
+    logger.info("stopped", {
+      ended: callerServer.endedRequests,
+      inProgress: callerServer.inProgress,
+    });
+  }
+}
