A stop does not cut answers that callers are still reading

What callers saw: a long answer that was being sent when an entry VM stopped ended early with a closed connection.

Cause: during the stop, closeIdleConnections of Node's server was called every 50 ms. It takes a connection for idle as soon as end() of its response has been called, although bytes of the answer still wait for the caller to read.

Evidence: of an answer of 12 MB to a caller that pauses reading for 0.5 s the caller got 3.9 MB, with whole seconds of the grace period left.

Ruled out: the end of the grace period; the connection closed 1.4 s before it.

Fix: the caller server tracks which connections are idle: those with no response open and with no byte read since the last one was sent completely.

Result: "a caller that reads slowly gets its whole answer during a stop" fails before (3,919,688 of 12,000,000 bytes) and passes after.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -24,6 +24,7 @@
 import { HttpCallerAnswer } from "./caller-answer.js";
 import { hasCallerLeft } from "./caller-presence.js";
 import type { GracefulStop } from "./graceful-stop.js";
+import { KeptConnections } from "./kept-connections.js";
 import type { EntryMetrics } from "./metrics.js";
 import type { ReplicatedState } from "./replicated-state.js";
 
@@ -49,6 +50,7 @@
   readonly server: http.Server;
   /// The responses in progress, with the controllers that end their requests.
   private readonly openResponses = new Map<http.ServerResponse, AbortController>();
+  private readonly keptConnections = new KeptConnections();
   private endedByStop = 0;
 
   constructor(private readonly services: CallerServerServices) {
@@ -58,6 +60,9 @@
         void this.handleRequest(request, response);
       },
     );
+    this.server.on("connection", (socket) => {
+      this.keptConnections.add(socket);
+    });
   }
 
   get inProgress(): number {
@@ -69,6 +74,11 @@
     return this.endedByStop;
   }
 
+  /// Closes the connections that callers keep open without a request.
+  closeIdleConnections(): void {
+    this.keptConnections.closeIdle();
+  }
+
   /// Ends the requests in progress: each gets an error as its answer, or, if its answer has begun,
   /// an incomplete one. Complete answers that are being sent are not affected.
   endRequests(): void {
@@ -90,9 +100,11 @@
     const receivedAt = clock.monotonicTime();
     const controller = new AbortController();
     this.openResponses.set(response, controller);
+    this.keptConnections.beginRequest(request.socket);
     response.on("error", () => undefined);
     response.on("close", () => {
       this.openResponses.delete(response);
+      this.keptConnections.endRequest(request.socket);
       if (!response.writableFinished) controller.abort(RequestEnd.CallerGone);
     });
     const answer = new HttpCallerAnswer(
