A stop reads the requests that have arrived before it closes idle connections

What callers saw: a request on a kept connection ended with a reset connection and no answer when it arrived just before the entry VM closed its idle connections. The longer a turn of the event loop takes, the more requests this meets.

Cause: the connections were closed from a timer. Timers run before the sockets are read, so that what had arrived during the turn before still waited in them.

Evidence: a request sent on a kept connection while the process was busy across the end of the drain delay got no answer.

Fix: the sockets are read once more before idle connections are chosen.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -75,8 +75,8 @@
   }
 
   /// Closes the connections that callers keep open without a request.
-  closeIdleConnections(): void {
-    this.keptConnections.closeIdle();
+  closeIdleConnections(): Promise<void> {
+    return this.keptConnections.closeIdle();
   }
 
   /// Ends the requests in progress: each gets an error as its answer, or, if its answer has begun,
--- a/packages/entry/src/graceful-stop.ts
+++ b/packages/entry/src/graceful-stop.ts
@@ -44,10 +44,10 @@
     const exitsAt = this.requestedAt + limits.shutdownTimeout - exitMargin;
     logger.info("stopping", { inProgress: callerServer.inProgress });
     await clock.sleep(Math.min(limits.drainDelay, this.endsRequestsAt - this.requestedAt));
-    callerServer.closeIdleConnections();
+    await callerServer.closeIdleConnections();
     while (callerServer.inProgress > 0 && clock.monotonicTime() < this.endsRequestsAt) {
       await clock.sleep(pollInterval);
-      callerServer.closeIdleConnections();
+      await callerServer.closeIdleConnections();
     }
     callerServer.endRequests();
     while (callerServer.inProgress > 0 && clock.monotonicTime() < exitsAt)
--- a/packages/entry/src/kept-connections.ts
+++ b/packages/entry/src/kept-connections.ts
@@ -1,6 +1,7 @@
 //! The connections of callers that are kept open between requests. Node's own
 //! `closeIdleConnections` also closes a connection on which an answer is still being sent.
 import type { Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 
 interface ConnectionUse {
   openRequests: number;
@@ -31,8 +32,11 @@
   }
 
   /// Closes the connections that have had a request and on which no other one has begun to
-  /// arrive.
-  closeIdle(): void {
+  /// arrive. What the operating system has received until then is read before.
+  async closeIdle(): Promise<void> {
+    // The first turn ends the one in which this was called; sockets are read before the second.
+    await setImmediate();
+    await setImmediate();
     for (const [socket, { openRequests, bytesReadWhenIdle }] of this.uses)
       if (openRequests === 0 && socket.bytesRead === bytesReadWhenIdle) socket.destroy();
   }
