--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -4,6 +4,10 @@
 import {
   answerBuffered,
   answerStreaming,
+  createEndError,
+  isEndedByStop,
+  RequestEnd,
+  stoppingRetrySeconds,
   type AttemptServices,
   type RoutedRequest,
 } from "@lovagebend/attempts";
@@ -19,6 +23,8 @@
 import http from "node:http";
 import { HttpCallerAnswer } from "./caller-answer.js";
 import { hasCallerLeft } from "./caller-presence.js";
+import type { GracefulStop } from "./graceful-stop.js";
+import { KeptConnections } from "./kept-connections.js";
 import type { EntryMetrics } from "./metrics.js";
 import { OpenRequest, OpenRequests, type ConnectionEnd } from "./open-requests.js";
 import type { ReplicatedState } from "./replicated-state.js";
@@ -26,9 +32,7 @@
 export interface CallerServerServices extends AttemptServices {
   readonly replicatedState: ReplicatedState;
   readonly metrics: EntryMetrics;
-  readonly isStopping: () => boolean;
-  /// Whether new requests are refused, because they could not be answered before shutdown.
-  readonly shouldRefuseRequests: () => boolean;
+  readonly gracefulStop: GracefulStop;
 }
 
 // The limit on the size of headers. It is fixed when the server is created, so the operator's
@@ -38,8 +42,6 @@
 // answer.
 const requestReadTimeout: Milliseconds = 20_000;
 const unknownSettingsRetrySeconds = 0.5;
-// Short, because the caller's next connection reaches another entry VM.
-const stoppingRetrySeconds = 0.05;
 const maximumIdentifierLength = 200;
 const maximumPartIdentifierLength = 64;
 const maximumSharedParts = 32;
@@ -50,6 +52,8 @@
   private readonly openRequests = new OpenRequests((request, end) => {
     this.recordUnanswered(request, end);
   });
+  private readonly keptConnections = new KeptConnections();
+  private endedByStop = 0;
 
   constructor(private readonly services: CallerServerServices) {
     this.server = http.createServer(
@@ -58,12 +62,32 @@
         void this.handleRequest(request, response);
       },
     );
+    this.server.on("connection", (socket) => {
+      this.keptConnections.add(socket);
+    });
   }
 
   get inProgress(): number {
     return this.openRequests.size;
   }
 
+  /// The number of requests that a stop has ended before they were answered.
+  get endedRequests(): number {
+    return this.endedByStop;
+  }
+
+  /// Closes the connections that callers keep open without a request.
+  closeIdleConnections(): Promise<void> {
+    return this.keptConnections.closeIdle();
+  }
+
+  /// Ends the requests in progress: each gets an error as its answer, or, if its answer has begun,
+  /// an incomplete one. Complete answers that are being sent are not affected.
+  endRequests(): void {
+    for (const open of this.openRequests.list())
+      if (!open.response.writableEnded) open.end(RequestEnd.VmStopping);
+  }
+
   /// Applies the operator's time limits to connections from now on.
   applyLimits(table: RouteTable): void {
     this.server.keepAliveTimeout = table.limits.idleTimeout;
@@ -74,21 +98,26 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const { clock, isStopping, logger, metrics } = this.services;
+    const { clock, gracefulStop, logger, metrics } = this.services;
     const receivedAt = clock.monotonicTime();
     const id = request.headers[this.services.headerNames.requestId]?.toString();
     const open = new OpenRequest(id, response, receivedAt);
     this.openRequests.add(open, request.socket);
+    this.keptConnections.beginRequest(request.socket);
     response.on("error", () => undefined);
+    response.on("close", () => {
+      this.keptConnections.endRequest(request.socket);
+    });
     const answer = new HttpCallerAnswer(
       response,
       () => clock.monotonicTime(),
-      isStopping,
+      () => gracefulStop.isStopping,
       (reason) => {
         open.endReason = reason;
       },
     );
     let routed: RoutedRequest | undefined;
+    let refusal: RouterError | undefined;
     try {
       routed = await this.route(request, open);
       if (await hasCallerLeft(request))
@@ -98,6 +127,7 @@
       const routerError = error instanceof RouterError ? error : toInternalError(error);
       if (routerError.kind === ErrorKind.Internal)
         logger.error("request failed", { detail: String(error) });
+      refusal = routerError;
       this.refuse(request, open, routerError);
     }
     if (answer.firstByteAt !== undefined && routed !== undefined)
@@ -107,10 +137,29 @@
         (answer.firstByteAt - receivedAt) / 1_000,
       );
     if (answer.isAborted) metrics.recordAbortedStream();
+    if (isEndedByStop(open.signal) && (refusal !== undefined || answer.isAborted))
+      this.recordEndByStop(request, routed, refusal);
+  }
+
+  // Without a refusal, the answer had begun.
+  private recordEndByStop(
+    request: http.IncomingMessage,
+    routed: RoutedRequest | undefined,
+    refusal: RouterError | undefined,
+  ): void {
+    const { logger, headerNames } = this.services;
+    this.endedByStop += 1;
+    logger.warn("request ended by stop", {
+      request: request.headers[headerNames.requestId],
+      route: routed?.route.name,
+      kind: routed?.route.kind,
+      progress: findProgress(routed, refusal),
+      status: refusal === undefined ? "incomplete" : getErrorResponse(refusal.kind).status,
+    });
   }
 
   private recordUnanswered(request: OpenRequest, end: ConnectionEnd): void {
-    const { clock, isStopping, logger, metrics } = this.services;
+    const { clock, gracefulStop, logger, metrics } = this.services;
     const { id, route, progress, receivedAt, response } = request;
     metrics.recordUnansweredRequest(progress.stage.kind, end.kind);
     logger.warn("request unanswered", {
@@ -125,20 +174,23 @@
       closedBy: end.kind,
       ...("code" in end ? { code: end.code } : {}),
       ...("reason" in end ? { reason: end.reason } : {}),
-      isStopping: isStopping(),
+      isStopping: gracefulStop.isStopping,
     });
   }
 
   private async route(request: http.IncomingMessage, open: OpenRequest): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
-    if (this.services.shouldRefuseRequests())
+    if (this.services.gracefulStop.shouldRefuseRequests)
       throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
     const initialTable = replicatedState.routes;
     if (initialTable === undefined) {
       const kind = ErrorKind.SettingsUnknown;
       throw new RouterError(kind, RunState.NotRun, "", unknownSettingsRetrySeconds);
     }
-    const body = await readBody(request, initialTable.limits.maximumBodyBytes);
+    const body = await Promise.race([
+      readBody(request, initialTable.limits.maximumBodyBytes),
+      rejectOnEnd(open.signal),
+    ]);
     if (body.isErr) throw body.error;
     open.progress.recordRead();
     // The settings may have changed while the body was being received.
@@ -214,7 +266,7 @@
     const headers: http.OutgoingHttpHeaders = { "content-type": "application/json" };
     if (error.retryAfterSeconds !== undefined)
       headers["retry-after"] = String(error.retryAfterSeconds);
-    if (!request.complete || this.services.isStopping()) headers.connection = "close";
+    if (!request.complete || this.services.gracefulStop.isStopping) headers.connection = "close";
     const body = JSON.stringify({
       error: { kind: error.kind, run: error.run, message: error.message },
     });
@@ -270,6 +322,23 @@
   return [...new Set(shared)].slice(0, maximumSharedParts);
 }
 
+function findProgress(
+  routed: RoutedRequest | undefined,
+  refusal: RouterError | undefined,
+): "reading" | "not offered" | "offered" | "answering" {
+  if (routed === undefined) return "reading";
+  if (refusal === undefined) return "answering";
+  return refusal.run === RunState.NotRun ? "not offered" : "offered";
+}
+
+function rejectOnEnd(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    signal.addEventListener("abort", () => {
+      reject(createEndError(signal, false));
+    });
+  });
+}
+
 function toInternalError(error: unknown): RouterError {
   return new RouterError(ErrorKind.Internal, RunState.Unknown, String(error));
 }
--- a/packages/entry/src/open-requests.ts
+++ b/packages/entry/src/open-requests.ts
@@ -1,6 +1,6 @@
 //! The requests of callers that have no complete answer yet. Reports each one whose connection
 //! ends, with the progress of the request and who ended the connection.
-import { RequestProgress } from "@lovagebend/attempts";
+import { RequestEnd, RequestProgress } from "@lovagebend/attempts";
 import type { Milliseconds } from "@lovagebend/common";
 import type http from "node:http";
 import type { Socket } from "node:net";
@@ -28,13 +28,14 @@
     readonly receivedAt: Milliseconds,
   ) {}
 
-  /// Aborted when the connection ends before the answer is complete.
+  /// Aborts with a `RequestEnd` when the request ends before its answer is complete.
   get signal(): AbortSignal {
     return this.controller.signal;
   }
 
-  cancel(): void {
-    this.controller.abort();
+  /// Ends the work on the request.
+  end(reason: RequestEnd): void {
+    this.controller.abort(reason);
   }
 }
 
@@ -52,6 +53,10 @@
     return size;
   }
 
+  list(): OpenRequest[] {
+    return [...this.requests.values()].flatMap((requests) => [...requests]);
+  }
+
   /// Tracks `request` until its answer is complete or `socket` is closed. Node reports a closed
   /// connection only to the first of the responses that are open on it, so this is observed on the
   /// socket.
@@ -73,7 +78,7 @@
     socket.once("close", () => {
       this.requests.delete(socket);
       for (const request of requests) {
-        request.cancel();
+        request.end(RequestEnd.CallerGone);
         this.onUnanswered(request, findConnectionEnd(request, socket, error));
       }
     });
