Order rows and tables by the era of the store, then by version

Cause: a version of the store was taken to order two states for good. The replicas of all entry VMs stood at version 89; the copy stood lower. Each feed asked for changes after 89, got "history forgotten", read the whole table and lost it again, since `TableReplica` keeps the higher version and the feed goes on from it (`Math.max`, `knownVersion`). It repeated that until the new versions had passed 89, and what had been written up to then was never taken. Peers compare versions in the same way, so that a VM with rows of before the restore would undo newer ones.

Fix: a `Revision` is an era and a version. A rise of the era on any answer of the store, or from a peer, ends the running polls and makes each feed read its table whole. Answers of an earlier era are discarded and the call is repeated, and a table whose pages are of two eras is read again. Messages between peers carry the era of each table, whether the rows are the whole table, and the operator's number of the settings in force, which are sent to a peer with a lower one: a VM that starts on the copy gets the newer settings from its peers. A message without these fields is of the era in which this process began. Live targets that the copy lacks are kept for the grace period that follows an outage, also if no outage was seen.

In existing tests only the type of a table's state changed (a version became an era and a version).

--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -89,6 +89,14 @@
     this.storeAvailableSince = now;
   }
 
+  /// Records that the store has come back from a copy, which may lack the entries of live
+  /// targets. `grace` is how much longer they may take to return.
+  markStoreRestored(grace: Milliseconds = entryGracePeriod): void {
+    const availableSince =
+      this.clock.monotonicTime() + Math.min(grace, entryGracePeriod) - entryGracePeriod;
+    this.storeAvailableSince = Math.max(this.storeAvailableSince, availableSince);
+  }
+
   /// Applies a new or changed entry. An entry of an earlier process of the target is ignored.
   addOrUpdate(target: ListedTarget): void {
     const previous = this.listed.get(target.name);
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -50,7 +50,15 @@
   const replicatedState = new ReplicatedState(dependencies, targetRegistry);
   const quarantine = new PromptQuarantine();
   const requestLimiter = new SharedRequestLimiter(clock, logger);
-  const peers = new Peers(identity, replicatedState, quarantine, requestLimiter, clock, logger);
+  const peers = new Peers(
+    identity,
+    replicatedState,
+    quarantine,
+    requestLimiter,
+    dependencies.store.era,
+    clock,
+    logger,
+  );
   requestLimiter.connect(peers);
   requestLimiter.onChange = () => {
     peers.publishNow();
--- a/packages/entry/src/peer-message.ts
+++ b/packages/entry/src/peer-message.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from "@lovagebend/common";
 import type { GossipEntry } from "@lovagebend/membership";
 import type { QuarantineExchange } from "@lovagebend/quarantine";
-import type { StoredRow } from "@lovagebend/store";
+import type { Era, StoredRow, TableTransfer } from "@lovagebend/store";
 
 /// A row of a table as JSON. `value` is base64, or `null` if the row was removed.
 export interface WireRow {
@@ -18,6 +18,25 @@
   readonly targets: number;
 }
 
+/// Of each table, the era of the sender's version and whether `rows` are the whole table.
+export interface TableHistory {
+  readonly era: Era;
+  readonly isWhole: boolean;
+}
+
+/// The operator's version of the document in force at the sender, -1 if there is none. `value`
+/// is the document as base64, or `null` if the receiver presumably has it.
+export interface SettingsInForce {
+  readonly version: number;
+  readonly value: string | null;
+}
+
+/// The two tables that peers send to each other.
+export interface Tables {
+  readonly document: TableTransfer;
+  readonly targets: TableTransfer;
+}
+
 /// One side of an exchange. `digest` holds the latest fact version of each owner that the
 /// sender knows, and `versions` those of its tables. `rows` and `facts` are those that the
 /// receiver presumably lacks. The opening message of an exchange carries only the sender's
@@ -30,7 +49,9 @@
   /// How much longer targets with a lapsed entry stay listed, because the sender detected an
   /// outage of the store. 0 if there was none recently.
   readonly lapseGrace: Milliseconds;
-  /// A sender of an older version has none.
+  /// The fields below are missing in messages of senders of older versions.
+  readonly histories?: { readonly document: TableHistory; readonly targets: TableHistory };
+  readonly settings?: SettingsInForce;
   readonly quarantine?: QuarantineExchange;
 }
 
@@ -53,7 +74,37 @@
   }
 }
 
-export function toWireRows(rows: readonly StoredRow[]): WireRow[] {
+/// The tables as they are in a message.
+export function describeTables({
+  document,
+  targets,
+}: Tables): Pick<PeerMessage, "versions" | "histories" | "rows"> {
+  return {
+    versions: { document: document.revision.version, targets: targets.revision.version },
+    histories: { document: describeHistory(document), targets: describeHistory(targets) },
+    rows: { document: toWireRows(document.rows), targets: toWireRows(targets.rows) },
+  };
+}
+
+/// The tables of a message. A sender of an older version names no eras: its rows count as of
+/// `unnamedEra`.
+export function readTables(
+  { versions, histories, rows }: Pick<PeerMessage, "versions" | "histories" | "rows">,
+  unnamedEra: Era,
+): Tables {
+  const read = (name: keyof Tables): TableTransfer => ({
+    rows: fromWireRows(rows[name]),
+    revision: { era: histories?.[name].era ?? unnamedEra, version: versions[name] },
+    isWhole: histories?.[name].isWhole ?? false,
+  });
+  return { document: read("document"), targets: read("targets") };
+}
+
+function describeHistory({ revision, isWhole }: TableTransfer): TableHistory {
+  return { era: revision.era, isWhole };
+}
+
+function toWireRows(rows: readonly StoredRow[]): WireRow[] {
   return rows.map(({ key, version, value }) => ({
     key,
     version,
@@ -61,7 +112,7 @@
   }));
 }
 
-export function fromWireRows(rows: readonly WireRow[]): StoredRow[] {
+function fromWireRows(rows: readonly WireRow[]): StoredRow[] {
   return rows.map(({ key, version, value }) => ({
     key,
     version,
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -8,17 +8,22 @@
   type Logger,
   type Milliseconds,
 } from "@lovagebend/common";
-import { GossipState } from "@lovagebend/membership";
+import { GossipState, type GossipDigest } from "@lovagebend/membership";
 import type { PromptQuarantine, QuarantineExchange } from "@lovagebend/quarantine";
-import type { RowStore } from "@lovagebend/store";
+import {
+  isLater,
+  type Revision,
+  type RowStore,
+  type StoreEra,
+  type TableTransfer,
+} from "@lovagebend/store";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
 import type { ReplicatedState } from "./replicated-state.js";
 import {
-  fromWireRows,
+  describeTables,
   parseVmFact,
-  toWireRows,
+  readTables,
   type PeerMessage,
-  type TableVersions,
   type VmFact,
 } from "./peer-message.js";
 import type { SharedRequestLimiter } from "./shared-request-limiter.js";
@@ -47,6 +52,15 @@
 const explorationShare = 0.2;
 const exchangeMethod = "exchange";
 
+// What the receiver of a message has, as far as it is known.
+interface ReceiverState {
+  readonly digest: GossipDigest;
+  readonly document: Revision;
+  readonly targets: Revision;
+  readonly settings: number | undefined;
+  readonly quarantine?: QuarantineExchange | undefined;
+}
+
 export class Peers {
   private readonly gossip: GossipState;
   private readonly server = new JSONRPCServer();
@@ -61,6 +75,7 @@
     private readonly replicatedState: ReplicatedState,
     private readonly quarantine: PromptQuarantine,
     private readonly requestLimiter: SharedRequestLimiter,
+    private readonly storeEra: StoreEra,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
@@ -247,14 +262,20 @@
   private async exchangeWith(address: string, signal: AbortSignal): Promise<void> {
     const client = this.createClient(address, signal);
     try {
-      const ownMessage = this.composeMessage({ digest: {}, versions: this.readTableVersions() }, [
-        this.identity.name,
-      ]);
+      const { document, targets } = this.replicatedState.replicas;
+      // The peer's state is not known yet, so that it is sent none.
+      const unknown = {
+        digest: {},
+        document: document.revision,
+        targets: targets.revision,
+        settings: undefined,
+      };
+      const ownMessage = this.composeMessage(unknown, [this.identity.name]);
       const reply = (await client.request(exchangeMethod, ownMessage)) as PeerMessage;
       const quarantine = this.mergeMessage(reply, address);
       const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
-      if (!this.hasNewerRowsThan(reply) && !differs) return;
-      const ownReply = this.composeMessage({ ...reply, quarantine });
+      if (!this.hasNewerStateThan(reply) && !differs) return;
+      const ownReply = this.composeMessage({ ...this.readReceiverState(reply), quarantine });
       this.mergeMessage((await client.request(exchangeMethod, ownReply)) as PeerMessage, address);
     } catch (error) {
       if (!signal.aborted)
@@ -265,7 +286,7 @@
   private handleExchange(message: PeerMessage): PeerMessage {
     const quarantine = this.mergeMessage(message, "caller");
     this.publishOwnFacts();
-    return this.composeMessage({ ...message, quarantine });
+    return this.composeMessage({ ...this.readReceiverState(message), quarantine });
   }
 
   // Returns the message's part on the quarantine if it is valid.
@@ -280,18 +301,21 @@
     for (const { key, value, age } of newFacts)
       if (key === limitsFactKey && this.requestLimiter.mergeLimits(value, age))
         this.triggerExchange();
-    this.mergeRows(message, peer);
+    this.mergeState(message, peer);
     return this.mergeQuarantine(message, peer);
   }
 
-  private mergeRows({ rows, versions, lapseGrace }: PeerMessage, peer: string): void {
-    const received = {
-      document: fromWireRows(rows.document),
-      targets: fromWireRows(rows.targets),
+  private mergeState(message: PeerMessage, peer: string): void {
+    const tables = readTables(message, this.storeEra.first);
+    const document = message.settings?.value ?? undefined;
+    const isEmpty = ({ rows, isWhole }: TableTransfer): boolean => rows.length === 0 && !isWhole;
+    if (isEmpty(tables.document) && isEmpty(tables.targets) && document === undefined) return;
+    const state = {
+      tables,
+      document: document === undefined ? undefined : Buffer.from(document, "base64"),
+      lapseGrace: message.lapseGrace,
     };
-    if (received.document.length === 0 && received.targets.length === 0) return;
-    if (this.replicatedState.mergePeerRows(received, versions, peer, lapseGrace))
-      this.triggerExchange();
+    if (this.replicatedState.mergePeerState(state, peer)) this.triggerExchange();
   }
 
   private mergeQuarantine(
@@ -304,37 +328,61 @@
     return valid;
   }
 
-  private composeMessage(
-    other: Pick<PeerMessage, "digest" | "versions"> & {
-      quarantine?: QuarantineExchange | undefined;
-    },
-    onlyOwners?: readonly string[],
-  ): PeerMessage {
+  private composeMessage(receiver: ReceiverState, onlyOwners?: readonly string[]): PeerMessage {
     const now = this.clock.monotonicTime();
-    const facts = this.gossip.newerThan(other.digest, now);
-    const { document, targets } = this.replicatedState.replicas;
+    const facts = this.gossip.newerThan(receiver.digest, now);
+    const { replicas } = this.replicatedState;
     return {
       digest: this.gossip.digest(),
-      versions: this.readTableVersions(),
       facts:
         onlyOwners === undefined ? facts : facts.filter(({ owner }) => onlyOwners.includes(owner)),
-      rows: {
-        document: toWireRows(document.findRowsNewerThan(other.versions.document)),
-        targets: toWireRows(targets.findRowsNewerThan(other.versions.targets)),
+      ...describeTables({
+        document: replicas.document.composeTransfer(receiver.document),
+        targets: replicas.targets.composeTransfer(receiver.targets),
+      }),
+      settings: {
+        version: this.settingsVersion,
+        value: this.findDocumentFor(receiver)?.toString("base64") ?? null,
       },
       lapseGrace: this.replicatedState.targetRegistry.getRemainingGrace(),
-      quarantine: this.quarantine.composeExchange(other.quarantine, now),
+      quarantine: this.quarantine.composeExchange(receiver.quarantine, now),
     };
   }
 
-  private hasNewerRowsThan({ versions }: PeerMessage): boolean {
-    const ownVersions = this.readTableVersions();
-    return ownVersions.document > versions.document || ownVersions.targets > versions.targets;
+  private hasNewerStateThan(other: PeerMessage): boolean {
+    const { document, targets } = this.replicatedState.replicas;
+    const receiver = this.readReceiverState(other);
+    return (
+      isLater(document.revision, receiver.document) ||
+      isLater(targets.revision, receiver.targets) ||
+      this.findDocumentFor(receiver) !== undefined
+    );
+  }
+
+  // Returns the operator's document in force if the receiver has an earlier one. A receiver of
+  // an older version names none, and gets the row only.
+  private findDocumentFor({ settings }: ReceiverState): Buffer | undefined {
+    if (settings === undefined || this.settingsVersion <= settings) return undefined;
+    return this.replicatedState.document;
+  }
+
+  private get settingsVersion(): number {
+    return this.replicatedState.routes?.version ?? -1;
   }
 
-  private readTableVersions(): TableVersions {
+  private readReceiverState(message: PeerMessage): ReceiverState {
     const { document, targets } = this.replicatedState.replicas;
-    return { document: document.version, targets: targets.version };
+    const { digest, versions, histories, settings } = message;
+    // A receiver of an older version names no eras, and compares versions only.
+    return {
+      digest,
+      document: {
+        era: histories?.document.era ?? document.revision.era,
+        version: versions.document,
+      },
+      targets: { era: histories?.targets.era ?? targets.revision.era, version: versions.targets },
+      settings: settings?.version,
+    };
   }
 
   private publishOwnFacts(): void {
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -1,18 +1,22 @@
 //! The entry VM's replicas of the operator's document and of the targets. Updates arrive from
-//! the store's change feeds and from peers; the highest version wins and is never replaced
-//! by an earlier one.
+//! the store's change feeds and from peers. The replicas follow the store, also when it comes
+//! back from a copy. Of the operator's documents the one with the highest version of the
+//! operator's own is in force, and is never replaced by an earlier one.
 import { TargetRegistry } from "@lovagebend/attempts";
 import type { RouteTable } from "@lovagebend/catalog";
 import type { Milliseconds } from "@lovagebend/common";
 import {
   followTable,
+  storeSource,
   TableReplica,
   type FeedTiming,
   type StoredRow,
   type TableChange,
+  type TableTransfer,
 } from "@lovagebend/store";
 import { Subject, Subscription } from "rxjs";
 import type { EntryDependencies } from "./entry-dependencies.js";
+import type { Tables } from "./peer-message.js";
 
 // Changes of targets come in bursts. Batching them saves calls to the store and takes a
 // tenth of the two seconds within which a leaving target must be detected.
@@ -39,6 +43,19 @@
   readonly targets: TableReplica;
 }
 
+/// What a peer sent. `document` is set if the peer has a later one in force.
+export interface PeerState {
+  readonly tables: Tables;
+  readonly document: Buffer | undefined;
+  readonly lapseGrace: Milliseconds;
+}
+
+/// The operator's document in force, as it was received.
+interface Settings {
+  readonly table: RouteTable;
+  readonly value: Buffer;
+}
+
 export class ReplicatedState {
   readonly replicas: Replicas = { document: new TableReplica(), targets: new TableReplica() };
   /// Whether this entry VM polls the store for each change of targets. The others receive
@@ -47,7 +64,7 @@
   /// Called after changes from the store that peers may lack.
   onStoreChanges: () => void = () => undefined;
   private readonly storeReturns = new Subject<void>();
-  private table: RouteTable | undefined;
+  private settings: Settings | undefined;
 
   constructor(
     private readonly dependencies: EntryDependencies,
@@ -56,12 +73,17 @@
 
   /// The settings in force; `undefined` until the first are received.
   get routes(): RouteTable | undefined {
-    return this.table;
+    return this.settings?.table;
+  }
+
+  /// The document in force, for peers with an earlier one.
+  get document(): Buffer | undefined {
+    return this.settings?.value;
   }
 
   /// Whether settings and targets have been received, so that requests can be served.
   get isComplete(): boolean {
-    return this.table !== undefined && this.replicas.targets.version >= 0;
+    return this.settings !== undefined && this.replicas.targets.revision.version >= 0;
   }
 
   /// Follows both tables in the store until the returned subscription is cancelled.
@@ -77,11 +99,11 @@
         maximumBatchingDelay,
         longPollTimeout: documentPollTimeout,
       }),
-      knownVersion: () => this.replicas.document.version,
+      knownRevision: () => this.replicas.document.revision,
       pollRepeats: this.storeReturns,
     }).subscribe((change) => {
-      this.applyChange(this.replicas.document, change, (rows, from) => {
-        this.applyDocuments(rows, from);
+      this.applyChange(tables.document, this.replicas.document, change, (rows) => {
+        this.applyDocuments(rows, storeSource);
       });
     });
     subscription.add(
@@ -98,91 +120,118 @@
                 longPollTimeout: targetPollTimeout,
               }
             : relayedFeedTiming,
-        knownVersion: () => this.replicas.targets.version,
+        knownRevision: () => this.replicas.targets.revision,
       }).subscribe((change) => {
         if (change.kind === "away") this.targetRegistry.markStoreUnavailable();
         if (change.kind === "back") {
           this.targetRegistry.markStoreAvailable();
           this.storeReturns.next();
         }
-        this.applyChange(this.replicas.targets, change, (rows) => {
+        this.applyChange(tables.targets, this.replicas.targets, change, (rows) => {
           this.applyTargets(rows);
         });
       }),
     );
     subscription.add(
       store.era.changes.subscribe((change) => {
+        const { document, targets } = this.replicas;
         logger.warn("store restored", {
           ...change,
-          documentVersion: this.replicas.document.version,
-          targetsVersion: this.replicas.targets.version,
+          documentVersion: document.revision.version,
+          targetsVersion: targets.revision.version,
+          readAgain: [tables.document, tables.targets],
         });
+        if (change.source === storeSource) this.targetRegistry.markStoreRestored();
       }),
     );
     return subscription;
   }
 
-  /// Merges rows from a peer. `lapseGrace` is how much longer lapsed entries may return,
-  /// according to the store outages that the peer detected. Returns whether any row changed.
-  mergePeerRows(
-    rows: { readonly document: readonly StoredRow[]; readonly targets: readonly StoredRow[] },
-    versions: { readonly document: number; readonly targets: number },
-    peer: string,
-    lapseGrace: Milliseconds,
-  ): boolean {
-    const documents = this.replicas.document.apply(rows.document, versions.document);
-    const targets = this.replicas.targets.apply(rows.targets, versions.targets);
+  /// Merges the state of a peer. Its `lapseGrace` is how much longer lapsed entries may return,
+  /// according to the store outages that the peer detected. Returns whether anything changed.
+  mergePeerState({ tables, document, lapseGrace }: PeerState, peer: string): boolean {
+    const { store, tables: names } = this.dependencies;
+    const { replicas, targetRegistry } = this;
+    const { era } = replicas.targets.revision;
+    const documents = this.update(names.document, replicas.document, tables.document, peer);
+    const targets = this.update(names.targets, replicas.targets, tables.targets, peer);
+    const isNewEra = replicas.targets.revision.era > era;
+    if (isNewEra) targetRegistry.markStoreRestored(lapseGrace);
+    store.era.observePeer(replicas.targets.revision.era, peer);
     this.applyDocuments(documents, peer);
+    const hasLaterDocument = document !== undefined && this.takeDocument(document, peer);
     // An entry VM that polls the store directly detects its outages itself.
-    const hasOwnView = this.shouldFollowDirectly() && this.targetRegistry.isStoreAvailable;
+    const hasOwnView = this.shouldFollowDirectly() && targetRegistry.isStoreAvailable && !isNewEra;
     this.applyTargets(targets, hasOwnView ? 0 : lapseGrace);
-    return documents.length > 0 || targets.length > 0;
+    return documents.length > 0 || targets.length > 0 || hasLaterDocument;
   }
 
   private applyChange(
+    table: string,
     replica: TableReplica,
     change: TableChange,
-    applyRows: (rows: readonly StoredRow[], from: string) => void,
+    applyRows: (rows: readonly StoredRow[]) => void,
   ): void {
     switch (change.kind) {
       case "away":
       case "back":
         return;
       case "whole":
-        this.deliverStoreRows(replica.applySnapshot(change.rows, change.version), applyRows);
-        return;
-      case "rows":
-        this.deliverStoreRows(replica.apply(change.rows, change.version), applyRows);
+      case "rows": {
+        const isWhole = change.kind === "whole";
+        const { rows, era, version } = change;
+        const transfer = { rows, revision: { era, version }, isWhole };
+        const changed = this.update(table, replica, transfer, storeSource);
+        applyRows(changed);
+        if (changed.length > 0) this.onStoreChanges();
+      }
     }
   }
 
-  private deliverStoreRows(
-    changedRows: readonly StoredRow[],
-    applyRows: (rows: readonly StoredRow[], from: string) => void,
-  ): void {
-    applyRows(changedRows, "store");
-    if (changedRows.length > 0) this.onStoreChanges();
+  private update(
+    table: string,
+    replica: TableReplica,
+    transfer: TableTransfer,
+    from: string,
+  ): StoredRow[] {
+    const before = replica.revision;
+    const changed = replica.applyTransfer(transfer);
+    const after = replica.revision;
+    if (after.era > before.era && before.version >= 0)
+      this.dependencies.logger.warn("table replaced", {
+        table,
+        from,
+        before,
+        after,
+        rows: changed.length,
+        removed: changed.filter(({ value }) => value === undefined).length,
+      });
+    return changed;
   }
 
   private applyDocuments(rows: readonly StoredRow[], from: string): void {
-    const { tables, logger, readDocument } = this.dependencies;
-    for (const { key, value, version } of rows) {
-      if (key !== tables.documentKey || value === undefined) continue;
-      const read = readDocument(value);
-      if (read.isErr) {
-        logger.error("settings not readable", { from, version, reason: read.error });
-        continue;
-      }
-      const { table, faults } = read.value;
-      if (this.table !== undefined && table.version <= this.table.version) {
-        const inForce = this.table.version;
-        logger.info("older settings left", { from, settings: table.version, inForce });
-        continue;
-      }
-      const before = this.table?.version;
-      this.table = table;
-      logger.info("settings in force", { from, before, settings: table.version, faults });
+    for (const { key, value } of rows)
+      if (key === this.dependencies.tables.documentKey && value !== undefined)
+        this.takeDocument(value, from);
+  }
+
+  // Returns whether the document is in force now.
+  private takeDocument(value: Buffer, from: string): boolean {
+    const { logger, readDocument } = this.dependencies;
+    const read = readDocument(value);
+    if (read.isErr) {
+      logger.error("settings not readable", { from, reason: read.error });
+      return false;
+    }
+    const { table, faults } = read.value;
+    const before = this.routes?.version;
+    if (before !== undefined && table.version <= before) {
+      logger.info("older settings left", { from, settings: table.version, inForce: before });
+      return false;
     }
+    this.settings = { table, value };
+    logger.info("settings in force", { from, before, settings: table.version, faults });
+    return true;
   }
 
   private applyTargets(rows: readonly StoredRow[], lapseGrace?: Milliseconds): void {
--- a/packages/entry/test/lapsed-entries.test.ts
+++ b/packages/entry/test/lapsed-entries.test.ts
@@ -3,6 +3,7 @@
 import { ListedState, RouteTable } from "@lovagebend/catalog";
 import type { Logger, Milliseconds } from "@lovagebend/common";
 import { TargetRegistry } from "@lovagebend/attempts";
+import { initialEra } from "@lovagebend/store";
 import { Result } from "true-myth";
 import t, { type Test } from "tap";
 import type { EntryDependencies } from "../src/index.js";
@@ -98,10 +99,17 @@
 function createPeerRemoval(
   target: string,
   lapseGrace: Milliseconds,
-): Parameters<ReplicatedState["mergePeerRows"]> {
+): Parameters<ReplicatedState["mergePeerState"]> {
   const removal = { key: target, version: 100 + target.charCodeAt(0), value: undefined };
-  const versions = { document: -1, targets: removal.version };
-  return [{ document: [], targets: [removal] }, versions, "peer", lapseGrace];
+  const tables = {
+    document: { rows: [], revision: { era: initialEra, version: -1 }, isWhole: false },
+    targets: {
+      rows: [removal],
+      revision: { era: initialEra, version: removal.version },
+      isWhole: false,
+    },
+  };
+  return [{ tables, document: undefined, lapseGrace }, "peer"];
 }
 
 function range(first: Milliseconds, last: Milliseconds): Milliseconds[] {
@@ -197,10 +205,10 @@
 t.test("an entry VM without the store removes a target that its peers have removed", async (t) => {
   const { clock, targetRegistry, replicatedState, end } = await startScenario(Outage.Refusing);
   await clock.advanceTo(outageEnd);
-  replicatedState.mergePeerRows(...createPeerRemoval("a", 0));
+  replicatedState.mergePeerState(...createPeerRemoval("a", 0));
   t.notOk(targetRegistry.isStaying("a"), "the peer has had the store all the time");
   t.equal(targetRegistry.getRemainingGrace(), 0, "the removal is passed on as final");
-  replicatedState.mergePeerRows(...createPeerRemoval("b", 1_500));
+  replicatedState.mergePeerState(...createPeerRemoval("b", 1_500));
   await clock.advanceTo(outageEnd + 1_400);
   t.ok(targetRegistry.isStaying("b"), "kept as long as the peer keeps it");
   await clock.advanceTo(outageEnd + 1_500 + maintenanceInterval);
--- a/packages/entry/test/scripted-store.ts
+++ b/packages/entry/test/scripted-store.ts
@@ -50,7 +50,7 @@
     const failure = await this.failDuringOutage(0);
     if (failure !== undefined) return Result.err(failure);
     const rows = this.rows.filter((row) => row.table === table && row.value !== undefined);
-    return Result.ok({ rows, version: this.version });
+    return Result.ok({ rows, version: this.version, era: this.era.current });
   }
 
   async waitForChanges(
@@ -68,7 +68,7 @@
       if (failure !== undefined) return Result.err(failure);
       const rows = this.rows.filter((row) => row.table === table && row.version > after);
       if (rows.length > 0 || remaining <= 0)
-        return Result.ok({ kind: "changed", rows, version: this.version });
+        return Result.ok({ kind: "changed", rows, version: this.version, era: this.era.current });
       await this.clock.sleep(Math.min(pollStep, remaining));
     }
   }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -8,4 +8,5 @@
   type FollowTableOptions,
 } from "./table-follower.js";
 export { initialEra, StoreEra, storeSource, type Era, type EraChange } from "./store-era.js";
-export { TableReplica } from "./table-replica.js";
+export { isLater, type Revision } from "./revision.js";
+export { TableReplica, type TableTransfer } from "./table-replica.js";
--- a/packages/store/src/row-store.ts
+++ b/packages/store/src/row-store.ts
@@ -2,33 +2,35 @@
 //! removes single rows.
 import type { Milliseconds } from "@lovagebend/common";
 import type { Result } from "true-myth";
+import type { Revision } from "./revision.js";
 import type { StoreEra } from "./store-era.js";
 
-/// A row of a table. `version` is the store's version at the row's last change; it grows
-/// with every transaction. `value` is `undefined` if the row was removed.
+/// A row of a table. `version` is the store's version at the row's last change; within one
+/// era of the store it grows with every transaction. `value` is `undefined` if the row was removed.
 export interface StoredRow {
   readonly key: string;
   readonly version: number;
   readonly value: Buffer | undefined;
 }
 
-/// A snapshot of all rows of a table at `version`.
-export interface TableSnapshot {
+/// A snapshot of all rows of a table.
+export interface TableSnapshot extends Revision {
   readonly rows: readonly StoredRow[];
-  readonly version: number;
 }
 
-/// `changed`: the rows that changed after the requested version; may be empty.
+/// `changed`: the rows that changed after the requested version; may be empty. If its era is
+/// not that of the requested version, they are not all of the changes.
 /// `forgotten`: the store no longer keeps the history since the requested version, so the
 /// caller has to read the whole table again.
 export type ChangeFeedResult =
-  | { readonly kind: "changed"; readonly rows: readonly StoredRow[]; readonly version: number }
+  | ({ readonly kind: "changed"; readonly rows: readonly StoredRow[] } & Revision)
   | { readonly kind: "forgotten" };
 
 /// No method throws; the error of a result is a text for the log. A failed write may have
 /// taken effect, or may still take effect later.
 export interface RowStore {
-  /// Kept current by every answer of the store, failures included.
+  /// Kept current by every answer of the store, failures included. No result is of an era
+  /// before the one that was current when its answer arrived.
   readonly era: StoreEra;
   readTable(table: string): Promise<Result<TableSnapshot, string>>;
   /// A long poll: returns the changes after version `after`, or an empty result once `timeout`
--- a/packages/store/src/store-era.ts
+++ b/packages/store/src/store-era.ts
@@ -19,6 +19,7 @@
 /// The highest era that this process has heard of. It never decreases.
 export class StoreEra {
   private known: Era | undefined;
+  private reportedFirst: Era | undefined;
   private doesStoreNameEra = false;
   private readonly changesSubject = new Subject<EraChange>();
 
@@ -28,6 +29,11 @@
     return this.known ?? initialEra;
   }
 
+  /// The first era that was reported, or the current one if none was.
+  get first(): Era {
+    return this.reportedFirst ?? this.current;
+  }
+
   /// Emits when the store has come back from a copy since this process started. The first era
   /// that is reported is no change.
   get changes(): Observable<EraChange> {
@@ -43,7 +49,7 @@
     this.doesStoreNameEra = named !== undefined;
     const era = named ?? this.current;
     if (era < this.current) {
-      this.logger.warn("late answer of the store", { era, current: this.current });
+      this.logger.warn("late answer of the store discarded", { era, current: this.current });
       return undefined;
     }
     this.raise(era, storeSource);
@@ -59,6 +65,7 @@
     const before = this.known;
     if (before !== undefined && era <= before) return;
     this.known = era;
+    this.reportedFirst ??= era;
     if (before !== undefined) this.changesSubject.next({ before, era, source });
   }
 }
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -1,16 +1,17 @@
 //! A change feed for one table: reads a snapshot, then long-polls for changes, and reads a
-//! new snapshot when the store no longer keeps the history that the feed needs. While the
-//! store is unavailable the rows emitted so far stay valid.
+//! new snapshot when the store no longer keeps the history that the feed needs, or has come
+//! back from a copy. While the store is unavailable the rows emitted so far stay valid.
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
-import { NEVER, Observable } from "rxjs";
+import { merge, NEVER, Observable } from "rxjs";
+import { isLater, type Revision } from "./revision.js";
 import type { RowStore, StoredRow } from "./row-store.js";
 
 /// `whole`: all rows of the table; any other row was removed. `rows`: the rows that
-/// changed. `away`: a call to the store failed. `back`: the first call after that succeeded;
+/// changed since the last snapshot of the same era. `away`: a call to the store failed. `back`: the first call after that succeeded;
 /// emitted before its rows, and also if it returned none.
 export type TableChange =
-  | { readonly kind: "whole"; readonly rows: readonly StoredRow[]; readonly version: number }
-  | { readonly kind: "rows"; readonly rows: readonly StoredRow[]; readonly version: number }
+  | ({ readonly kind: "whole"; readonly rows: readonly StoredRow[] } & Revision)
+  | ({ readonly kind: "rows"; readonly rows: readonly StoredRow[] } & Revision)
   | { readonly kind: "away"; readonly reason: string }
   | { readonly kind: "back" };
 
@@ -21,9 +22,9 @@
   readonly logger: Logger;
   /// Evaluated before each call to the store.
   readonly timing: () => FeedTiming;
-  /// The table version already received from another source, such as peers. The feed asks
-  /// only for changes after it.
-  readonly knownVersion: () => number;
+  /// The state of the table already received from another source, such as peers. The feed
+  /// asks only for changes after it.
+  readonly knownRevision: () => Revision;
   /// When it emits, a poll that waits for a change is repeated over another connection.
   readonly pollRepeats?: Observable<unknown>;
 }
@@ -72,35 +73,37 @@
   emit: (change: TableChange) => void,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, table, clock, logger, timing: readTiming, knownVersion } = options;
-  let version: number | undefined;
+  const { store, table, clock, logger, timing: readTiming, knownRevision } = options;
+  let reached: Revision | undefined;
   let retryDelay = initialRetryDelay;
   let isUnavailable = false;
   let batchingDelay = readTiming().minimumBatchingDelay;
+  let interruption = new AbortController();
+  const interrupts = merge(options.pollRepeats ?? NEVER, store.era.changes).subscribe(() => {
+    interruption.abort();
+  });
   while (!signal.aborted) {
+    if (interruption.signal.aborted) interruption = new AbortController();
     const requestedAt = clock.monotonicTime();
     const { minimumBatchingDelay, maximumBatchingDelay, longPollTimeout } = readTiming();
-    if (version !== undefined) version = Math.max(version, knownVersion());
-    const pollAbort = new AbortController();
-    const repeats = (options.pollRepeats ?? NEVER).subscribe(() => {
-      pollAbort.abort();
-    });
+    const known = knownRevision();
+    if (reached !== undefined && isLater(known, reached)) reached = known;
+    if (reached !== undefined && reached.era < store.era.current) reached = undefined;
     const outcome =
-      version === undefined
+      reached === undefined
         ? (await store.readTable(table)).map((snapshot) => ({
             kind: "whole" as const,
             ...snapshot,
           }))
         : await store.waitForChanges(
             table,
-            version,
+            reached.version,
             isUnavailable ? Math.min(longPollTimeout, recoveryPollTimeout) : longPollTimeout,
-            AbortSignal.any([signal, pollAbort.signal]),
+            AbortSignal.any([signal, interruption.signal]),
           );
-    repeats.unsubscribe();
-    if (pollAbort.signal.aborted) continue;
+    if (reached !== undefined && interruption.signal.aborted) continue;
     if (outcome.isErr) {
-      if (!isUnavailable) logger.warn("store lost", { table, version, reason: outcome.error });
+      if (!isUnavailable) logger.warn("store lost", { table, ...reached, reason: outcome.error });
       isUnavailable = true;
       emit({ kind: "away", reason: outcome.error });
       // Half of the delay is jitter, so that entry VMs do not retry all at once.
@@ -109,7 +112,7 @@
       continue;
     }
     if (isUnavailable) {
-      logger.info("store regained", { table, version });
+      logger.info("store regained", { table, ...reached });
       emit({ kind: "back" });
     }
     isUnavailable = false;
@@ -117,22 +120,23 @@
     const change = outcome.value;
     switch (change.kind) {
       case "forgotten":
-        logger.warn("history forgotten by the store", { table, version });
-        version = undefined;
+        logger.warn("history forgotten by the store", { table, ...reached });
+        reached = undefined;
         continue;
       case "whole":
         emit(change);
-        version = change.version;
+        reached = { era: change.era, version: change.version };
         break;
       case "changed":
         if (change.rows.length > 0) emit({ ...change, kind: "rows" });
-        version = change.version;
+        reached = { era: change.era, version: change.version };
         break;
     }
     const isBurst = clock.monotonicTime() - requestedAt < batchingDelay;
     batchingDelay = isBurst
       ? Math.min(maximumBatchingDelay, Math.max(minimumBatchingDelay, batchingDelay * 2))
       : minimumBatchingDelay;
-    await clock.sleep(batchingDelay, signal);
+    await clock.sleep(batchingDelay, AbortSignal.any([signal, interruption.signal]));
   }
+  interrupts.unsubscribe();
 }
--- a/packages/store/src/table-replica.ts
+++ b/packages/store/src/table-replica.ts
@@ -1,40 +1,74 @@
 //! An in-memory replica of a table, updated from the store and from peers. It keeps the
 //! latest version of each row and a tombstone for each removed row, so that entry VMs can
 //! send each other the changes that the other lacks.
+import { isLater, type Revision } from "./revision.js";
 import type { StoredRow } from "./row-store.js";
+import { initialEra } from "./store-era.js";
 
+/// What one replica sends to another: the rows that the other lacks, and the state that they
+/// lead to. `isWhole`: `rows` are the whole table.
+export interface TableTransfer {
+  readonly rows: readonly StoredRow[];
+  readonly revision: Revision;
+  readonly isWhole: boolean;
+}
+
+/// Holds the complete table as of `revision`, and possibly later changes. All rows are of one
+/// era: the replica enters a later era only with a snapshot of that era, and ignores rows of
+/// any other.
 export class TableReplica {
-  private readonly rows = new Map<string, StoredRow>();
-  private latestVersion = -1;
+  private rows = new Map<string, StoredRow>();
+  private reached: Revision = { era: initialEra, version: -1 };
 
-  /// The table version that the replica has reached; -1 before the first update.
-  get version(): number {
-    return this.latestVersion;
+  /// The state that the replica has reached; its version is -1 before the first update.
+  get revision(): Revision {
+    return this.reached;
   }
 
   /// Merges a snapshot of the whole table. Returns the rows that changed, including a
-  /// tombstone for each removed row.
-  applySnapshot(rows: readonly StoredRow[], version: number): StoredRow[] {
+  /// tombstone for each removed row. A snapshot of a later era replaces all rows, so that
+  /// all of them are returned; one of an earlier era changes nothing.
+  applySnapshot(rows: readonly StoredRow[], revision: Revision): StoredRow[] {
+    const { era, version } = revision;
+    if (era < this.reached.era) return [];
+    const isNewEra = era > this.reached.era;
     const present = new Set(rows.map(({ key }) => key));
     const removed = [...this.rows.values()]
-      .filter((row) => row.value !== undefined && !present.has(row.key) && row.version <= version)
+      .filter((row) => row.value !== undefined && !present.has(row.key))
+      .filter((row) => isNewEra || row.version <= version)
       .map(({ key }) => ({ key, version, value: undefined }));
-    return this.apply([...rows, ...removed], version);
+    if (isNewEra) {
+      this.rows = new Map();
+      this.reached = revision;
+    }
+    return this.apply([...rows, ...removed], revision);
   }
 
-  /// Merges rows from any source. Returns those that are newer than the replica's.
-  apply(rows: readonly StoredRow[], version: number): StoredRow[] {
+  /// Merges rows of the era that the replica has reached, from any source. Returns those that
+  /// are newer than the replica's.
+  apply(rows: readonly StoredRow[], revision: Revision): StoredRow[] {
+    if (revision.era !== this.reached.era) return [];
     const changed = rows.filter((row) => {
       const known = this.rows.get(row.key);
       return known === undefined || row.version > known.version;
     });
     for (const row of changed) this.rows.set(row.key, row);
-    this.latestVersion = Math.max(this.latestVersion, version);
+    if (isLater(revision, this.reached)) this.reached = revision;
     return changed;
   }
 
-  /// The rows that changed after `version`, tombstones included.
-  findRowsNewerThan(version: number): StoredRow[] {
-    return [...this.rows.values()].filter((row) => row.version > version);
+  /// Merges what another replica sent. Returns the rows that changed.
+  applyTransfer({ rows, revision, isWhole }: TableTransfer): StoredRow[] {
+    return isWhole ? this.applySnapshot(rows, revision) : this.apply(rows, revision);
+  }
+
+  /// What a replica at `known` lacks, tombstones included: the whole table if `known` is of an
+  /// earlier era.
+  composeTransfer(known: Revision): TableTransfer {
+    const isWhole = this.reached.era > known.era;
+    const rows = [...this.rows.values()].filter(
+      (row) => isWhole || (this.reached.era === known.era && row.version > known.version),
+    );
+    return { rows, revision: this.reached, isWhole };
   }
 }
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -4,10 +4,12 @@
 import t from "tap";
 import {
   followTable,
+  initialEra,
   StoreEra,
   TableReplica,
   type ChangeFeedResult,
   type TableSnapshot,
+  type Revision,
   type RowStore,
   type StoredRow,
   type TableChange,
@@ -23,6 +25,11 @@
   return { key, version, value: Buffer.from(value) };
 }
 
+// The state of a table at `version` of the first era.
+function at(version: number): Revision {
+  return { era: initialEra, version };
+}
+
 // Returns the scripted results in order; later calls never settle.
 class ScriptedStore implements RowStore {
   readonly era = new StoreEra(silentLogger);
@@ -70,7 +77,7 @@
 async function collectChanges(
   script: Result<TableSnapshot | ChangeFeedResult, string>[],
   changeCount: number,
-  knownVersion = () => -1,
+  knownRevision = () => at(-1),
 ) {
   const store = new ScriptedStore(script);
   const clock = createFakeClock();
@@ -86,7 +93,7 @@
         maximumBatchingDelay: 400,
         longPollTimeout: 10_000,
       }),
-      knownVersion,
+      knownRevision,
     }).subscribe((change) => {
       received.push(change);
       if (received.length === changeCount) setImmediate(resolve);
@@ -101,8 +108,8 @@
 t.test("the feed reads a snapshot, then polls for changes after its version", async (t) => {
   const { received, requests } = await collectChanges(
     [
-      Result.ok({ rows: [row("a", 3)], version: 5 }),
-      Result.ok({ kind: "changed", rows: [row("a", 7)], version: 7 }),
+      Result.ok({ rows: [row("a", 3)], version: 5, era: 0 }),
+      Result.ok({ kind: "changed", rows: [row("a", 7)], version: 7, era: 0 }),
     ],
     2,
   );
@@ -116,9 +123,9 @@
 t.test("the feed reads a new snapshot when the store no longer keeps the history", async (t) => {
   const { received, requests } = await collectChanges(
     [
-      Result.ok({ rows: [], version: 5 }),
+      Result.ok({ rows: [], version: 5, era: 0 }),
       Result.ok({ kind: "forgotten" }),
-      Result.ok({ rows: [row("a", 9)], version: 9 }),
+      Result.ok({ rows: [row("a", 9)], version: 9, era: 0 }),
     ],
     2,
   );
@@ -132,10 +139,10 @@
 t.test("the feed reports an outage, then resumes from its last version", async (t) => {
   const { received, requests } = await collectChanges(
     [
-      Result.ok({ rows: [], version: 5 }),
+      Result.ok({ rows: [], version: 5, era: 0 }),
       Result.err("status 503"),
       Result.err("status 503"),
-      Result.ok({ kind: "changed", rows: [row("a", 6)], version: 6 }),
+      Result.ok({ kind: "changed", rows: [row("a", 6)], version: 6, era: 0 }),
     ],
     5,
   );
@@ -150,9 +157,9 @@
 t.test("the feed reports the store's return even if no row has changed", async (t) => {
   const { received, requests } = await collectChanges(
     [
-      Result.ok({ rows: [row("a", 3)], version: 5 }),
+      Result.ok({ rows: [row("a", 3)], version: 5, era: 0 }),
       Result.err("status 503"),
-      Result.ok({ kind: "changed", rows: [], version: 5 }),
+      Result.ok({ kind: "changed", rows: [], version: 5, era: 0 }),
     ],
     3,
   );
@@ -166,9 +173,9 @@
 t.test("the first poll after an outage has a short timeout", async (t) => {
   const { timeouts } = await collectChanges(
     [
-      Result.ok({ rows: [], version: 5 }),
+      Result.ok({ rows: [], version: 5, era: 0 }),
       Result.err("status 503"),
-      Result.ok({ kind: "changed", rows: [row("a", 6)], version: 6 }),
+      Result.ok({ kind: "changed", rows: [row("a", 6)], version: 6, era: 0 }),
     ],
     3,
   );
@@ -180,20 +187,20 @@
 t.test("the feed resumes from the version received from peers", async (t) => {
   const { requests } = await collectChanges(
     [
-      Result.ok({ rows: [], version: 5 }),
-      Result.ok({ kind: "changed", rows: [row("a", 9)], version: 9 }),
+      Result.ok({ rows: [], version: 5, era: 0 }),
+      Result.ok({ kind: "changed", rows: [row("a", 9)], version: 9, era: 0 }),
     ],
     2,
-    () => 8,
+    () => at(8),
   );
   t.same(requests, ["read", "after 8", "after 9"]);
 });
 
 t.test("the batching delay doubles up to its maximum during a burst of changes", async (t) => {
   const change = (version: number): Result<ChangeFeedResult, string> =>
-    Result.ok({ kind: "changed", rows: [row("a", version)], version });
+    Result.ok({ kind: "changed", rows: [row("a", version)], version, era: 0 });
   const { sleeps } = await collectChanges(
-    [Result.ok({ rows: [], version: 1 }), change(2), change(3), change(4)],
+    [Result.ok({ rows: [], version: 1, era: 0 }), change(2), change(3), change(4)],
     4,
   );
   t.same(sleeps.slice(0, 4), [200, 400, 400, 400]);
@@ -201,30 +208,30 @@
 
 t.test("a replica keeps the latest version of each row from any source", (t) => {
   const replica = new TableReplica();
-  t.equal(replica.version, -1, "the version is -1 before the first update");
-  replica.apply([row("a", 4), row("b", 2)], 4);
-  t.same(replica.apply([row("a", 3, "old")], 3), [], "an earlier version changes nothing");
+  t.equal(replica.revision.version, -1, "the version is -1 before the first update");
+  replica.apply([row("a", 4), row("b", 2)], at(4));
+  t.same(replica.apply([row("a", 3, "old")], at(3)), [], "an earlier version changes nothing");
   t.same(
-    replica.findRowsNewerThan(2).map(({ key }) => key),
+    replica.composeTransfer(at(2)).rows.map(({ key }) => key),
     ["a"],
   );
-  t.equal(replica.version, 4);
+  t.same(replica.revision, at(4));
   t.end();
 });
 
 t.test("a row missing from a snapshot is removed, and the removal is passed to peers", (t) => {
   const replica = new TableReplica();
-  replica.apply([row("a", 1), row("b", 2)], 2);
-  const changed = replica.applySnapshot([row("b", 2)], 6);
+  replica.apply([row("a", 1), row("b", 2)], at(2));
+  const changed = replica.applySnapshot([row("b", 2)], at(6));
   t.same(changed, [{ key: "a", version: 6, value: undefined }]);
-  t.same(replica.findRowsNewerThan(2), [{ key: "a", version: 6, value: undefined }]);
-  t.same(replica.applySnapshot([row("b", 2)], 7), [], "the removal is reported once");
+  t.same(replica.composeTransfer(at(2)).rows, [{ key: "a", version: 6, value: undefined }]);
+  t.same(replica.applySnapshot([row("b", 2)], at(7)), [], "the removal is reported once");
   t.end();
 });
 
 t.test("a snapshot older than a row from a peer does not remove that row", (t) => {
   const replica = new TableReplica();
-  replica.apply([row("a", 9)], 9);
-  t.same(replica.applySnapshot([], 5), []);
+  replica.apply([row("a", 9)], at(9));
+  t.same(replica.applySnapshot([], at(5)), []);
   t.end();
 });
