A replica lacks no removal of the state that it says it has reached

What callers could see: requests to a removed target, and a removed target that is listed again.

It sent a peer that stood earlier the rows after that peer's version, and the peer took itself to have reached the sender's version, so that its feed never asked for the removals in between.

Fix: a replica keeps the version since which it knows all removals, and sends the whole table to a peer that stands before it.

--- a/packages/store/src/table-replica.ts
+++ b/packages/store/src/table-replica.ts
@@ -19,6 +19,9 @@
 export class TableReplica {
   private rows = new Map<string, StoredRow>();
   private reached: Revision = { era: initialEra, version: -1 };
+  // A snapshot does not say what was removed before it, so that a replica at an earlier version
+  // needs the whole table.
+  private removalsKnownSince = -1;
 
   /// The state that the replica has reached; its version is -1 before the first update.
   get revision(): Revision {
@@ -27,33 +30,35 @@
 
   /// Merges a snapshot of the whole table. Returns the rows that changed, including a
   /// tombstone for each removed row. A snapshot of a later era replaces all rows, so that
-  /// all of them are returned; one of an earlier era changes nothing.
+  /// all of them are returned; one of a state that the replica has passed changes nothing.
   applySnapshot(rows: readonly StoredRow[], revision: Revision): StoredRow[] {
     const { era, version } = revision;
-    if (era < this.reached.era) return [];
+    if (!isLater(revision, this.reached)) return [];
     const isNewEra = era > this.reached.era;
     const present = new Set(rows.map(({ key }) => key));
     const removed = [...this.rows.values()]
       .filter((row) => row.value !== undefined && !present.has(row.key))
       .filter((row) => isNewEra || row.version <= version)
       .map(({ key }) => ({ key, version, value: undefined }));
-    if (isNewEra) {
-      this.rows = new Map();
-      this.reached = revision;
-    }
-    return this.apply([...rows, ...removed], revision);
+    if (isNewEra) this.rows = new Map();
+    this.removalsKnownSince = version;
+    return this.merge([...rows, ...removed], revision);
   }
 
-  /// Merges rows of the era that the replica has reached, from any source. Returns those that
-  /// are newer than the replica's.
+  /// Merges all changes between a state that the replica has reached and `revision`, of the
+  /// same era. Returns the rows that are newer than the replica's.
   apply(rows: readonly StoredRow[], revision: Revision): StoredRow[] {
-    if (revision.era !== this.reached.era) return [];
+    const isOfThisEra = revision.era === this.reached.era;
+    return isOfThisEra && isLater(revision, this.reached) ? this.merge(rows, revision) : [];
+  }
+
+  private merge(rows: readonly StoredRow[], revision: Revision): StoredRow[] {
     const changed = rows.filter((row) => {
       const known = this.rows.get(row.key);
       return known === undefined || row.version > known.version;
     });
     for (const row of changed) this.rows.set(row.key, row);
-    if (isLater(revision, this.reached)) this.reached = revision;
+    this.reached = revision;
     return changed;
   }
 
@@ -63,12 +68,12 @@
   }
 
   /// What a replica at `known` lacks, tombstones included: the whole table if `known` is of an
-  /// earlier era.
+  /// earlier era, or before removals that this replica does not know of.
   composeTransfer(known: Revision): TableTransfer {
-    const isWhole = this.reached.era > known.era;
-    const rows = [...this.rows.values()].filter(
-      (row) => isWhole || (this.reached.era === known.era && row.version > known.version),
-    );
-    return { rows, revision: this.reached, isWhole };
+    const revision = this.reached;
+    if (!isLater(revision, known)) return { rows: [], revision, isWhole: false };
+    const isWhole = revision.era > known.era || known.version < this.removalsKnownSince;
+    const rows = [...this.rows.values()].filter((row) => isWhole || row.version > known.version);
+    return { rows, revision, isWhole };
   }
 }
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -224,7 +224,11 @@
   replica.apply([row("a", 1), row("b", 2)], at(2));
   const changed = replica.applySnapshot([row("b", 2)], at(6));
   t.same(changed, [{ key: "a", version: 6, value: undefined }]);
-  t.same(replica.composeTransfer(at(2)).rows, [{ key: "a", version: 6, value: undefined }]);
+  t.same(replica.composeTransfer(at(2)), {
+    rows: [{ key: "a", version: 6, value: undefined }, row("b", 2)],
+    revision: at(6),
+    isWhole: true,
+  });
   t.same(replica.applySnapshot([row("b", 2)], at(7)), [], "the removal is reported once");
   t.end();
 });
