What was known of a target before a restore holds against the copy

What callers could see: requests to a target that had announced that it leaves, or that was removed, in the seconds that a restored store has lost (DRAIN).

Cause: an entry of the copy counted like any newer entry. A leaving target was ready again, a removed one was listed again, and the only protection was `born`: an entry of a lower `born` was ignored for good, also where it was the newest of its era, so that one entry with a huge `born` kept the target's own out.

Fix: the registry keeps the era of each target's entry. Within an era the newest entry holds. The first entry of a later era may be the copy's: the leaving of the same process is final from then on, and an entry of a process that was removed, or is older than the one known, is held back until it changes or has been there for four seconds, after which the entry of an ended target would be gone.

Tests (restored-entries.test.ts) on the code before: "a target that leaves stays leaving", "a removed target that the copy lists gets no work until its entry is renewed" and "the newest entry of an era holds, also over a later start" fail; the four others pass there too. All seven pass after.

--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -4,6 +4,7 @@
 import { ListedState, type ListedTarget } from "@lovagebend/catalog";
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import { DecayingRate } from "@lovagebend/limits";
+import { EntryHistory, maximumEntryLifetime } from "./entry-history.js";
 
 /// A listed target with the observations of this entry VM. Times are of the monotonic clock:
 /// until `suspectedUntil` the target gets no new work, until `refusingUntil` others are
@@ -28,6 +29,13 @@
   readonly fromStore: boolean;
 }
 
+/// An entry of a restored store that is not used before `until` unless it changes.
+interface HeldEntry {
+  readonly entry: ListedTarget;
+  readonly era: number;
+  readonly until: Milliseconds;
+}
+
 interface TargetObservations {
   openRequests: number;
   openTokens: number;
@@ -40,10 +48,9 @@
   load: number;
 }
 
-// A failed target is tried again after an exponential backoff. The maximum is the time within
-// which a target that no longer exists is removed from the list.
+// A failed target is tried again after an exponential backoff.
 const initialSuspicionDuration: Milliseconds = 400;
-const maximumSuspicionDuration: Milliseconds = 4_000;
+const maximumSuspicionDuration = maximumEntryLifetime;
 // About the age of an engine's load report.
 const initialRefusalDuration: Milliseconds = 300;
 const maximumRefusalDuration: Milliseconds = 2_400;
@@ -60,6 +67,8 @@
   private readonly listed = new Map<string, ListedTarget>();
   private readonly observations = new Map<string, TargetObservations>();
   private readonly lapsedEntries = new Map<string, LapsedEntry>();
+  private readonly heldEntries = new Map<string, HeldEntry>();
+  private readonly history = new EntryHistory();
   /// Called when this entry VM starts to suspect a target.
   onSuspicion: () => void = () => undefined;
   private storeUnavailableSince: Milliseconds | undefined;
@@ -97,10 +106,24 @@
     this.storeAvailableSince = Math.max(this.storeAvailableSince, availableSince);
   }
 
-  /// Applies a new or changed entry. An entry of an earlier process of the target is ignored.
-  addOrUpdate(target: ListedTarget): void {
+  /// Applies a new or changed entry of the store's `era`.
+  addOrUpdate(entry: ListedTarget, era = 0): void {
+    const decision = this.history.judge(entry, era, this.clock.monotonicTime());
+    switch (decision.kind) {
+      case "list":
+        this.list(decision.target);
+        return;
+      case "hold": {
+        const { name, born } = entry;
+        this.heldEntries.set(name, { entry, era, until: decision.until });
+        this.logger.info("target entry held back", { target: name, born, era });
+      }
+    }
+  }
+
+  private list(target: ListedTarget): void {
     const previous = this.listed.get(target.name);
-    if ((previous?.born ?? 0) > target.born) return;
+    this.heldEntries.delete(target.name);
     this.lapsedEntries.delete(target.name);
     this.listed.set(target.name, target);
     this.removePredecessors(target);
@@ -122,6 +145,7 @@
   /// read from the store. While the store is unavailable here, only the peer can know whether
   /// the entry may return.
   markUnlisted(name: string, peerGrace?: Milliseconds): void {
+    this.heldEntries.delete(name);
     if (!this.listed.has(name)) return;
     const fromStore = peerGrace === undefined;
     const storeGrace = fromStore || this.isStoreAvailable ? this.getStoreGrace() : 0;
@@ -139,9 +163,12 @@
     });
   }
 
-  /// Removes targets whose grace period has ended. Must be called regularly.
+  /// Removes targets whose grace period has ended, and lists those whose entries were held
+  /// back and are still there. Must be called regularly.
   expire(): void {
     const now = this.clock.monotonicTime();
+    for (const { entry, era, until } of this.heldEntries.values())
+      if (until <= now) this.addOrUpdate(entry, era);
     const isStoreGraceOver = this.getStoreGrace() <= 0;
     for (const [name, { deadline, fromStore }] of this.lapsedEntries)
       if (deadline <= now && (isStoreGraceOver || !fromStore)) this.remove(name);
@@ -313,6 +340,7 @@
     this.listed.delete(name);
     this.lapsedEntries.delete(name);
     this.observations.delete(name);
+    this.history.recordRemoval(name, this.clock.monotonicTime());
     this.logger.info("target gone", { target: name });
   }
 
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -242,7 +242,8 @@
         continue;
       }
       const target = readTarget(key, value);
-      if (target.isOk) this.targetRegistry.addOrUpdate(target.value);
+      if (target.isOk)
+        this.targetRegistry.addOrUpdate(target.value, this.replicas.targets.revision.era);
       else logger.warn("target entry could not be decoded", { target: key, reason: target.error });
     }
   }
