Reset an aborted answer without a length whose caller does not read

What callers saw: a stream without a length that broke off ended plainly, so that a caller that was slow to read took it for complete.

Cause: with more than 64 KiB unread, the connection was closed plainly, which lets the operating system send the rest and then the mark that ends the answer. With less, the reset waited for up to a second, but the timeout of the socket also makes Node's server close the connection plainly, before the reset.

Now the connection is reset at once in the first case, and the second uses a timer of its own.

Evidence: a caller that read only after the abort of such a stream got 4.3 MB and the end of the connection without an error. caller-answer.test.ts fails before behind 16 MiB of unread bytes (no reset), passes after; behind one byte it passes on both. The path by the timeout has no test of its own.

--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -68,16 +68,24 @@
     this.isAborted = true;
     this.onAbort(reason);
     const { socket } = this.response;
-    if (!this.endsWithConnection || socket === null || socket.writableLength > maximumUnreadBytes) {
+    if (!this.endsWithConnection || socket === null) {
       this.response.destroy();
       return;
     }
-    // The plain end of the connection would mark the answer as complete. The callback runs when
-    // the bytes before the reset have been sent.
+    // The plain end of the connection would mark the answer as complete.
     const reset = (): void => {
       socket.resetAndDestroy();
     };
-    socket.setTimeout(abortTimeout, reset);
+    if (socket.writableLength > maximumUnreadBytes) {
+      reset();
+      return;
+    }
+    // The callback runs when the bytes before the reset have been sent. The timeout of the socket
+    // itself would end the connection plainly.
+    const timer = setTimeout(reset, abortTimeout);
+    socket.once("close", () => {
+      clearTimeout(timer);
+    });
     socket.write("", reset);
   }
 }
