Keep a connection open for as long as its caller was told

What callers saw: beside a change of the settings, a request on a kept connection met the close of that connection, although the caller had been told that it may stay idle for longer.

Cause: Node writes the idle timeout in force when a request arrives into the answer's Keep-Alive header, and applies the one in force when the answer ends. If the operator's limit shrinks in between, while a stream runs for example, the connection closes earlier than announced.

Ruled out: that a timer ends a connection on which bytes of a request have been read; Node 20.19 clears the idle timeout whenever it has parsed bytes, and its check of the header and request timeouts concerns only messages that have not arrived as a whole.

Now the larger of the two is applied, with the margin of a second that Node adds as well. The new limit holds from the next answer on the connection.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -17,6 +17,7 @@
   type Milliseconds,
 } from "@lovagebend/common";
 import http from "node:http";
+import type { Socket } from "node:net";
 import { HttpCallerAnswer } from "./caller-answer.js";
 import { hasCallerLeft } from "./caller-presence.js";
 import type { EntryMetrics } from "./metrics.js";
@@ -37,6 +38,8 @@
 // The time for a whole request to arrive. Equals the longest time that callers wait for an
 // answer.
 const requestReadTimeout: Milliseconds = 20_000;
+// For a request that is on its way when the announced time ends.
+const idleTimeoutMargin: Milliseconds = 1_000;
 const unknownSettingsRetrySeconds = 0.5;
 // Short, because the caller's next connection reaches another entry VM.
 const stoppingRetrySeconds = 0.05;
@@ -64,7 +67,8 @@
     return this.openRequests.size;
   }
 
-  /// Applies the operator's time limits to connections from now on.
+  /// Applies the operator's time limits. A connection that may stay idle for longer, because an
+  /// answer on it said so, keeps that time until its next request.
   applyLimits(table: RouteTable): void {
     this.server.keepAliveTimeout = table.limits.idleTimeout;
     this.server.headersTimeout = table.limits.headerTimeout;
@@ -79,6 +83,7 @@
     const id = request.headers[this.services.headerNames.requestId]?.toString();
     const open = new OpenRequest(id, response, receivedAt);
     this.openRequests.add(open, request.socket);
+    this.keepIdleTimeout(open, request.socket);
     response.on("error", () => undefined);
     const answer = new HttpCallerAnswer(
       response,
@@ -109,6 +114,17 @@
     if (answer.isAborted) metrics.recordAbortedStream();
   }
 
+  // Node tells the caller the timeout at the time of the request, and applies the one at the end of
+  // the answer. Its listener for that event runs before this one.
+  private keepIdleTimeout({ response }: OpenRequest, socket: Socket): void {
+    const announcedTimeout = this.server.keepAliveTimeout;
+    response.once("finish", () => {
+      if (socket.writableEnded || this.openRequests.has(socket)) return;
+      const timeout = Math.max(announcedTimeout, this.server.keepAliveTimeout);
+      socket.setTimeout(timeout + idleTimeoutMargin);
+    });
+  }
+
   private recordUnanswered(request: OpenRequest, end: ConnectionEnd): void {
     const { clock, isStopping, logger, metrics } = this.services;
     const { id, route, progress, receivedAt, response } = request;
--- a/packages/entry/src/open-requests.ts
+++ b/packages/entry/src/open-requests.ts
@@ -52,6 +52,11 @@
     return size;
   }
 
+  /// Whether a request on `socket` has no complete answer yet.
+  has(socket: Socket): boolean {
+    return (this.requests.get(socket)?.size ?? 0) > 0;
+  }
+
   /// Tracks `request` until its answer is complete or `socket` is closed. Node reports a closed
   /// connection only to the first of the responses that are open on it, so this is observed on the
   /// socket.
