--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -21,6 +21,7 @@
   type Milliseconds,
 } from "@lovagebend/common";
 import http from "node:http";
+import type { Socket } from "node:net";
 import { HttpCallerAnswer } from "./caller-answer.js";
 import { hasCallerLeft } from "./caller-presence.js";
 import type { GracefulStop } from "./graceful-stop.js";
@@ -41,6 +42,8 @@
 // The time for a whole request to arrive. Equals the longest time that callers wait for an
 // answer.
 const requestReadTimeout: Milliseconds = 20_000;
+// For a request that is on its way when the announced time ends.
+const idleTimeoutMargin: Milliseconds = 1_000;
 const unknownSettingsRetrySeconds = 0.5;
 const maximumIdentifierLength = 200;
 const maximumPartIdentifierLength = 64;
@@ -88,7 +91,8 @@
       if (!open.response.writableEnded) open.end(RequestEnd.VmStopping);
   }
 
-  /// Applies the operator's time limits to connections from now on.
+  /// Applies the operator's time limits. A connection that may stay idle for longer, because an
+  /// answer on it said so, keeps that time until its next request.
   applyLimits(table: RouteTable): void {
     this.server.keepAliveTimeout = table.limits.idleTimeout;
     this.server.headersTimeout = table.limits.headerTimeout;
@@ -104,6 +108,7 @@
     const open = new OpenRequest(id, response, receivedAt);
     this.openRequests.add(open, request.socket);
     this.keptConnections.beginRequest(request.socket);
+    this.keepIdleTimeout(open, request.socket);
     response.on("error", () => undefined);
     response.on("close", () => {
       this.keptConnections.endRequest(request.socket);
@@ -158,6 +163,17 @@
     });
   }
 
+  // Node tells the caller the timeout at the time of the request, and applies the one at the end of
+  // the answer. Its listener for that event runs before this one.
+  private keepIdleTimeout({ response }: OpenRequest, socket: Socket): void {
+    const announcedTimeout = this.server.keepAliveTimeout;
+    response.once("finish", () => {
+      if (socket.writableEnded || this.openRequests.has(socket)) return;
+      const timeout = Math.max(announcedTimeout, this.server.keepAliveTimeout);
+      socket.setTimeout(timeout + idleTimeoutMargin);
+    });
+  }
+
   private recordUnanswered(request: OpenRequest, end: ConnectionEnd): void {
     const { clock, gracefulStop, logger, metrics } = this.services;
     const { id, route, progress, receivedAt, response } = request;
