An entry of another writer costs no target its place

An entry with the address of a real target, an undeclared service and a later start removed that target: an entry is taken for the next process at its address, whatever its service. Under the key of a real target, an entry with a later start kept the real one out when it was written again. An entry with the entry VM's own address sent requests round through itself.

An entry of a service that the settings do not declare now replaces no other and holds no key, and is not found by its address. As services may be declared after their targets are read, predecessors are looked for again when settings come into force. refuseOwnAddresses refuses the addresses on which the entry VM itself listens. What remains: an entry in which all is plausible, a declared service included, can't be told from a target.

--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -60,6 +60,9 @@
   private readonly listed = new Map<string, ListedTarget>();
   private readonly observations = new Map<string, TargetObservations>();
   private readonly lapsedEntries = new Map<string, LapsedEntry>();
+  /// Whether a service is declared. An entry of another service names no target to use, and
+  /// replaces none.
+  isDeclared: (service: string) => boolean = () => true;
   /// Called when this entry VM starts to suspect a target.
   onSuspicion: () => void = () => undefined;
   private storeUnavailableSince: Milliseconds | undefined;
@@ -92,7 +95,8 @@
   /// Applies a new or changed entry. An entry of an earlier process of the target is ignored.
   addOrUpdate(target: ListedTarget): void {
     const previous = this.listed.get(target.name);
-    if ((previous?.born ?? 0) > target.born) return;
+    if (previous !== undefined && this.isDeclared(previous.service) && previous.born > target.born)
+      return;
     this.lapsedEntries.delete(target.name);
     this.listed.set(target.name, target);
     this.removePredecessors(target);
@@ -108,6 +112,11 @@
       });
   }
 
+  /// Applies changed declarations of services to the listed entries.
+  applyDeclarations(): void {
+    for (const target of [...this.listed.values()]) this.removePredecessors(target);
+  }
+
   /// Handles the removal of a target's entry. During a store outage and for a grace period
   /// after it, the target is kept until its entry has had time to be listed again. `peerGrace`
   /// is the remaining grace period of the peer that reported the removal; `undefined` if it was
@@ -197,10 +206,10 @@
     return this.getStayingTargets(service).filter(({ suspectedUntil }) => suspectedUntil <= now);
   }
 
-  /// Returns the target that listens on `address`, given as `host:port`.
+  /// Returns the target of a declared service that listens on `address`, given as `host:port`.
   findByAddress(address: string): Target | undefined {
-    for (const { name, host, port } of this.listed.values()) {
-      if (`${host}:${port}` === address) return this.get(name);
+    for (const { name, service, host, port } of this.listed.values()) {
+      if (`${host}:${port}` === address && this.isDeclared(service)) return this.get(name);
     }
     return undefined;
   }
@@ -294,7 +303,8 @@
   }
 
   // A newer process on the same host and port replaces the earlier one.
-  private removePredecessors({ name, host, port, born }: ListedTarget): void {
+  private removePredecessors({ name, service, host, port, born }: ListedTarget): void {
+    if (!this.listed.has(name) || !this.isDeclared(service)) return;
     for (const other of [...this.listed.values()]) {
       const isSameAddress = other.host === host && other.port === port;
       if (isSameAddress && other.name !== name && other.born < born) this.remove(other.name);
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -15,6 +15,7 @@
 import { CallerServer, type CallerServerServices } from "./caller-server.js";
 import { ReplicatedState } from "./replicated-state.js";
 import { EntryMetrics } from "./metrics.js";
+import { refuseOwnAddresses } from "./own-addresses.js";
 import { Peers } from "./peers.js";
 import { placeLayers } from "./place-layers.js";
 import { reviewQuarantine, storeVerdicts } from "./review-quarantine.js";
@@ -47,7 +48,10 @@
   const { identity, clock, logger } = dependencies;
   const lifecycle = new LifecycleManager();
   const targetRegistry = new TargetRegistry(clock, logger);
-  const replicatedState = new ReplicatedState(dependencies, targetRegistry);
+  const replicatedState = new ReplicatedState(
+    { ...dependencies, readTarget: refuseOwnAddresses(dependencies.readTarget, identity) },
+    targetRegistry,
+  );
   const quarantine = new PromptQuarantine();
   const requestLimiter = new SharedRequestLimiter(clock, logger);
   const peers = new Peers(identity, replicatedState, quarantine, requestLimiter, clock, logger);
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -52,7 +52,9 @@
   constructor(
     private readonly dependencies: EntryDependencies,
     readonly targetRegistry: TargetRegistry,
-  ) {}
+  ) {
+    targetRegistry.isDeclared = (service) => this.table?.services.has(service) === true;
+  }
 
   /// The settings in force; `undefined` until the first are received.
   get routes(): RouteTable | undefined {
@@ -172,6 +174,7 @@
       }
       const before = this.table?.version;
       this.table = table;
+      this.targetRegistry.applyDeclarations();
       logger.info("settings in force", { from, before, settings: table.version, faults });
     }
   }
