--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -69,7 +69,9 @@
   constructor(
     private readonly dependencies: EntryDependencies,
     readonly targetRegistry: TargetRegistry,
-  ) {}
+  ) {
+    targetRegistry.isDeclared = (service) => this.routes?.services.has(service) === true;
+  }
 
   /// The settings in force; `undefined` until the first are received.
   get routes(): RouteTable | undefined {
@@ -230,6 +232,7 @@
       return false;
     }
     this.settings = { table, value };
+    this.targetRegistry.applyDeclarations();
     logger.info("settings in force", { from, before, settings: table.version, faults });
     return true;
   }
