A stopping entry VM passes on no request whose body ends late

What callers saw: a request that came late in the grace period of a planned stop was taken and passed on, with little time left to answer it.

Cause: whether requests are still accepted was checked when the head had been read, and not again when the body had. A body may take 20 s.

Evidence: a request whose body ends 0.2 s after the drain delay reached the target, on the code before.

Fix: the check is repeated once the body has been read. The request is refused with 503 and a time to retry after, as one that begins then.

Result: "a request whose body ends after the drain delay is refused" fails before (200, one request at the target) and passes after.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -160,8 +160,7 @@
     signal: AbortSignal,
   ): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
-    if (this.services.gracefulStop.shouldRefuseRequests)
-      throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
+    this.assertAccepting();
     const initialTable = replicatedState.routes;
     if (initialTable === undefined) {
       const kind = ErrorKind.SettingsUnknown;
@@ -172,6 +171,7 @@
       rejectOnEnd(signal),
     ]);
     if (body.isErr) throw body.error;
+    this.assertAccepting();
     // The settings may have changed while the body was being received.
     const table = replicatedState.routes ?? initialTable;
     const path = request.url ?? "/";
@@ -211,6 +211,11 @@
     };
   }
 
+  private assertAccepting(): void {
+    if (this.services.gracefulStop.shouldRefuseRequests)
+      throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
+  }
+
   private answer(routed: RoutedRequest, answer: HttpCallerAnswer): Promise<void> {
     switch (routed.route.kind) {
       case RouteKind.Streaming:
