--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -196,8 +196,7 @@
 
   private async route(request: http.IncomingMessage, open: OpenRequest): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
-    if (this.services.gracefulStop.shouldRefuseRequests)
-      throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
+    this.assertAccepting();
     const initialTable = replicatedState.routes;
     if (initialTable === undefined) {
       const kind = ErrorKind.SettingsUnknown;
@@ -209,6 +208,7 @@
     ]);
     if (body.isErr) throw body.error;
     open.progress.recordRead();
+    this.assertAccepting();
     // The settings may have changed while the body was being received.
     const table = replicatedState.routes ?? initialTable;
     const path = request.url ?? "/";
@@ -250,6 +250,11 @@
     };
   }
 
+  private assertAccepting(): void {
+    if (this.services.gracefulStop.shouldRefuseRequests)
+      throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
+  }
+
   private answer(routed: RoutedRequest, answer: HttpCallerAnswer): Promise<void> {
     switch (routed.route.kind) {
       case RouteKind.Streaming:
