Do not cut a whole answer that a slow caller is still reading

What callers saw: during a planned stop, a caller that read slowly lost the rest of an answer that the entry VM had as a whole.

Node's closeIdleConnections takes a connection for idle as soon as the answer's end has been written by the program, although its bytes still wait in the process, and destroys it.

Now idle connections are closed only when no whole answer waits to be sent; the requests in progress, for which the stop waits, count these answers already.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -74,6 +74,12 @@
     this.server.headersTimeout = table.limits.headerTimeout;
   }
 
+  /// Closes the connections without a request in progress, but none while a whole answer is still
+  /// being sent: Node's method would close its connection too.
+  closeIdleConnections(): void {
+    if (!this.openRequests.hasUnsentAnswer) this.server.closeIdleConnections();
+  }
+
   private async handleRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -204,13 +204,13 @@
       logger.info("stopping", { inProgress: callerServer.inProgress });
       await clock.sleep(dependencies.limits.drainDelay);
       shouldRefuseRequests = true;
-      callerServer.server.closeIdleConnections();
+      callerServer.closeIdleConnections();
       while (
         callerServer.inProgress > 0 &&
         clock.monotonicTime() - stopRequestedAt < dependencies.limits.shutdownTimeout - exitMargin
       ) {
         await clock.sleep(stopPollInterval);
-        callerServer.server.closeIdleConnections();
+        callerServer.closeIdleConnections();
       }
       logger.info("stopped", { inProgress: callerServer.inProgress });
       await lifecycle.close();
--- a/packages/entry/src/open-requests.ts
+++ b/packages/entry/src/open-requests.ts
@@ -52,6 +52,14 @@
     return size;
   }
 
+  /// Whether a whole answer has not been handed to the operating system, because its caller reads
+  /// slowly.
+  get hasUnsentAnswer(): boolean {
+    for (const requests of this.requests.values())
+      for (const { response } of requests) if (response.writableEnded) return true;
+    return false;
+  }
+
   /// Whether a request on `socket` has no complete answer yet.
   has(socket: Socket): boolean {
     return (this.requests.get(socket)?.size ?? 0) > 0;
