An exception for one row or message ends neither the process nor a feed

An exception in a subscriber of a feed, in the handling of a peer's message or in work that nobody waits for ended the process of an entry VM, with all its requests.

Cause: rxjs throws the error of a subscriber again from a timer, and a rejection of a promise marked with `void` is an unhandled rejection. Both end the process.

A failed order or probe no longer leaves its engine marked as being ordered or probed.

--- a/packages/attempts/src/stream-watch.ts
+++ b/packages/attempts/src/stream-watch.ts
@@ -1,6 +1,6 @@
 //! Monitors the streams of this entry VM. Requests rerouting of the streams whose path
 //! contains a target that is unresponsive or leaving.
-import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
+import { runDetached, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
 import type { EngineAddress, EngineCalls } from "./routed-request.js";
 import { findUnresponsiveTargets, type WatchedStream } from "./unresponsive-targets.js";
 import type { TargetRegistry } from "./target-registry.js";
@@ -82,7 +82,7 @@
       )
         continue;
       this.lastActionAt.set(request, now);
-      void this.queryFirstTarget(stream, candidates);
+      runDetached(this.logger, "stall query", this.queryFirstTarget(stream, candidates));
     }
     if (now - this.leavingCheckedAt < leavingCheckInterval) return;
     this.leavingCheckedAt = now;
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -3,7 +3,13 @@
 //! rerouted to another path; if its first engine fails, the answer is resumed on another one
 //! after the last complete event.
 import { isRetryable } from "@lovagebend/catalog";
-import { ErrorKind, RouterError, RunState, type Milliseconds } from "@lovagebend/common";
+import {
+  ErrorKind,
+  RouterError,
+  runDetached,
+  RunState,
+  type Milliseconds,
+} from "@lovagebend/common";
 import {
   responseHeaders,
   EventSplitter,
@@ -132,7 +138,7 @@
           if (outcome.hasRun) this.executions += 1;
           reason = outcome.reason;
           // The report decides on the next dispatch only while the prompt may be at fault.
-          if (this.hasLived) void this.reportBrokenStart();
+          if (this.hasLived) runDetached(services.logger, "crash report", this.reportBrokenStart());
           else await this.reportBrokenStart();
           this.excludeFirst(path, reason);
           if (clock.monotonicTime() >= request.deadline) {
@@ -419,7 +425,7 @@
         }
         hasEnd = true;
         if (isDelimited) this.start.recordCompletion();
-        void this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
+        const ending = this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
           if (isEndOfTarget) {
             resolveBroken("the target ended, and with it the stream without a length");
             return;
@@ -429,6 +435,7 @@
           this.answer.end();
           resolve({ kind: "ended" });
         });
+        runDetached(this.services.logger, "end of a stream", ending);
       });
     });
   }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -16,6 +16,7 @@
   JsonRequest,
   JsonResponse,
 } from "./http-exchange.js";
+export { guardCallback, runDetached } from "./detached.js";
 export { alignColumns } from "./columns.js";
 export { createLogger } from "./logger.js";
 export type { Logger, LogSink } from "./logger.js";
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -5,6 +5,9 @@
   getErrorResponse,
   LifecycleManager,
   readBody,
+  runDetached,
+  writeJsonText,
+  type Logger,
   type Milliseconds,
 } from "@lovagebend/common";
 import { AnswerMemory, TargetConnections } from "@lovagebend/forwarding";
@@ -107,7 +110,11 @@
     response.writeHead(isReady ? 200 : 503, { "content-length": 0 }).end();
   });
   const peerServer = http.createServer((request, response) => {
-    void handlePeerRequest(peers, request, response);
+    const handling = handlePeerRequest(peers, request, response).catch((error: unknown) => {
+      response.destroy();
+      throw error;
+    });
+    runDetached(logger, "peer request", handling);
   });
   metrics.addGauge("requests_in_progress", "Requests in progress", () => callerServer.inProgress);
   metrics.addGauge(
@@ -147,7 +154,7 @@
     if (identity.metrics !== undefined)
       await startServer(
         "metrics server",
-        createMetricsServer(metrics, identity.metricsPath),
+        createMetricsServer(metrics, identity.metricsPath, logger),
         identity.metrics,
       );
   } catch (error) {
@@ -233,18 +240,21 @@
     return;
   }
   const reply = await peers.receive(body.value.toString("utf8"));
-  response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(reply));
+  const text = writeJsonText(reply);
+  if (text.isErr) throw new Error(`the reply has no JSON form: ${text.error}`);
+  response.writeHead(200, { "content-type": "application/json" }).end(text.value);
 }
 
-function createMetricsServer(metrics: EntryMetrics, path: string): http.Server {
+function createMetricsServer(metrics: EntryMetrics, path: string, logger: Logger): http.Server {
   return http.createServer((request, response) => {
     if (request.url !== path) {
       response.writeHead(404).end();
       return;
     }
-    void metrics.registry.metrics().then((text) => {
+    const answering = metrics.registry.metrics().then((text) => {
       response.writeHead(200, { "content-type": metrics.registry.contentType }).end(text);
     });
+    runDetached(logger, "metrics request", answering);
   });
 }
 
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -3,7 +3,7 @@
 //! by an earlier one.
 import { TargetRegistry } from "@lovagebend/attempts";
 import type { RouteTable } from "@lovagebend/catalog";
-import type { Milliseconds } from "@lovagebend/common";
+import { guardCallback, type Milliseconds } from "@lovagebend/common";
 import {
   followTable,
   TableReplica,
@@ -12,6 +12,7 @@
   type TableChange,
 } from "@lovagebend/store";
 import { Subject, Subscription } from "rxjs";
+import { Result } from "true-myth";
 import type { EntryDependencies } from "./entry-dependencies.js";
 
 // Changes of targets come in bursts. Batching them saves calls to the store and takes a
@@ -81,11 +82,13 @@
       }),
       knownVersion: () => this.replicas.document.version,
       pollRepeats: this.storeReturns,
-    }).subscribe((change) => {
-      this.applyChange(this.replicas.document, change, (rows, from) => {
-        this.applyDocuments(rows, from);
-      });
-    });
+    }).subscribe(
+      guardCallback(logger, "settings feed", (change: TableChange) => {
+        this.applyChange(this.replicas.document, change, (rows, from) => {
+          this.applyDocuments(rows, from);
+        });
+      }),
+    );
     subscription.add(
       followTable({
         store,
@@ -101,16 +104,18 @@
               }
             : relayedFeedTiming,
         knownVersion: () => this.replicas.targets.version,
-      }).subscribe((change) => {
-        if (change.kind === "away") this.targetRegistry.markStoreUnavailable();
-        if (change.kind === "back") {
-          this.targetRegistry.markStoreAvailable();
-          this.storeReturns.next();
-        }
-        this.applyChange(this.replicas.targets, change, (rows) => {
-          this.applyTargets(rows);
-        });
-      }),
+      }).subscribe(
+        guardCallback(logger, "target feed", (change: TableChange) => {
+          if (change.kind === "away") this.targetRegistry.markStoreUnavailable();
+          if (change.kind === "back") {
+            this.targetRegistry.markStoreAvailable();
+            this.storeReturns.next();
+          }
+          this.applyChange(this.replicas.targets, change, (rows) => {
+            this.applyTargets(rows);
+          });
+        }),
+      ),
     );
     return subscription;
   }
@@ -161,7 +166,7 @@
     const { tables, logger, readDocument } = this.dependencies;
     for (const { key, value, version } of rows) {
       if (key !== tables.documentKey || value === undefined) continue;
-      const read = readDocument(value);
+      const read = decode(() => readDocument(value));
       if (read.isErr) {
         logger.error("settings not readable", { from, version, reason: read.error });
         continue;
@@ -186,9 +191,18 @@
         this.targetRegistry.markUnlisted(key, lapseGrace);
         continue;
       }
-      const target = readTarget(key, value);
+      const target = decode(() => readTarget(key, value));
       if (target.isOk) this.targetRegistry.addOrUpdate(target.value);
       else logger.warn("target entry could not be decoded", { target: key, reason: target.error });
     }
   }
 }
+
+// An exception for one row must not keep the others from being applied.
+function decode<Value>(read: () => Result<Value, string>): Result<Value, string> {
+  try {
+    return read();
+  } catch (error) {
+    return Result.err(String(error));
+  }
+}
--- a/packages/placement/src/engine-failure-detector.ts
+++ b/packages/placement/src/engine-failure-detector.ts
@@ -1,7 +1,7 @@
 //! Failure detection for engines that is faster than the expiry of their listed entries. Each
 //! engine that some entry VM suspects is probed; two consecutive failed probes mark it as
 //! lost until it answers a probe.
-import type { Logger } from "@lovagebend/common";
+import { runDetached, type Logger } from "@lovagebend/common";
 import type { EngineClient } from "./placement-controller.js";
 
 // The number of consecutive failed probes after which an engine counts as lost.
@@ -23,7 +23,8 @@
   /// unless one is in progress. The caller repeats this several times per second.
   probeSuspected(suspected: Iterable<string>): void {
     for (const engine of new Set([...suspected, ...this.failedProbes.keys()])) {
-      if (!this.probesInProgress.has(engine)) void this.probe(engine);
+      if (!this.probesInProgress.has(engine))
+        runDetached(this.logger, "engine probe", this.probe(engine));
     }
   }
 
@@ -45,8 +46,9 @@
 
   private async probe(engine: string): Promise<void> {
     this.probesInProgress.add(engine);
-    const status = await this.engineClient.readStatus(engine);
-    this.probesInProgress.delete(engine);
+    const status = await this.engineClient.readStatus(engine).finally(() => {
+      this.probesInProgress.delete(engine);
+    });
     if (status.isOk) {
       if (this.failedProbes.delete(engine))
         this.logger.info("engine answers again", { target: engine });
--- a/packages/placement/src/placement-controller.ts
+++ b/packages/placement/src/placement-controller.ts
@@ -3,7 +3,7 @@
 //! read (optimistic concurrency control). A delayed order, or an order of a second controller
 //! that runs at the same time, is therefore rejected when the engine has changed since.
 import type { LayeredModel, LayerRange } from "@lovagebend/catalog";
-import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
+import { runDetached, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
 import type { Result } from "true-myth";
 import { planPlacement, type PlacedEngine } from "./planner.js";
 
@@ -87,7 +87,7 @@
     for (const { name, layers } of planPlacement(expectedEngines, model)) {
       const engine = engines.find((candidate) => candidate.name === name);
       if (engine !== undefined && !this.ordersInProgress.has(name))
-        void this.orderLayers(engine, layers, now);
+        runDetached(this.logger, "layer order", this.orderLayers(engine, layers, now));
     }
   }
 
@@ -119,9 +119,12 @@
   ): Promise<void> {
     this.ordersInProgress.add(engine.name);
     this.pendingOrders.set(engine.name, { born: engine.born, layers, sentAt: now });
-    const outcome = await this.sendOrder(engine, layers, this.expectedOrderCount(engine));
-    if (outcome.kind !== "begun") await this.readBackAndRetry(engine, layers);
-    this.ordersInProgress.delete(engine.name);
+    try {
+      const outcome = await this.sendOrder(engine, layers, this.expectedOrderCount(engine));
+      if (outcome.kind !== "begun") await this.readBackAndRetry(engine, layers);
+    } finally {
+      this.ordersInProgress.delete(engine.name);
+    }
   }
 
   private async sendOrder(
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -1,7 +1,7 @@
 //! A change feed for one table: reads a snapshot, then long-polls for changes, and reads a
 //! new snapshot when the store no longer keeps the history that the feed needs. While the
 //! store is unavailable the rows emitted so far stay valid.
-import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
+import { runDetached, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
 import { NEVER, Observable } from "rxjs";
 import type { RowStore, StoredRow } from "./row-store.js";
 
@@ -54,13 +54,14 @@
 export function followTable(options: FollowTableOptions): Observable<TableChange> {
   return new Observable((subscriber) => {
     const controller = new AbortController();
-    void followUntilAborted(
+    const following = followUntilAborted(
       options,
       (change) => {
         subscriber.next(change);
       },
       controller.signal,
     );
+    runDetached(options.logger, `feed of ${options.table}`, following);
     return () => {
       controller.abort();
     };
