--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -4,7 +4,7 @@
 //! operator's own is in force, and is never replaced by an earlier one.
 import { TargetRegistry } from "@lovagebend/attempts";
 import type { RouteTable } from "@lovagebend/catalog";
-import type { Milliseconds } from "@lovagebend/common";
+import { guardCallback, type Milliseconds } from "@lovagebend/common";
 import {
   followTable,
   storeSource,
@@ -15,6 +15,7 @@
   type TableTransfer,
 } from "@lovagebend/store";
 import { Subject, Subscription } from "rxjs";
+import { Result } from "true-myth";
 import type { EntryDependencies } from "./entry-dependencies.js";
 import type { Tables } from "./peer-message.js";
 
@@ -103,11 +104,13 @@
       }),
       knownRevision: () => this.replicas.document.revision,
       pollRepeats: this.storeReturns,
-    }).subscribe((change) => {
-      this.applyChange(tables.document, this.replicas.document, change, (rows) => {
-        this.applyDocuments(rows, storeSource);
-      });
-    });
+    }).subscribe(
+      guardCallback(logger, "settings feed", (change: TableChange) => {
+        this.applyChange(tables.document, this.replicas.document, change, (rows) => {
+          this.applyDocuments(rows, storeSource);
+        });
+      }),
+    );
     subscription.add(
       followTable({
         store,
@@ -123,16 +126,18 @@
               }
             : relayedFeedTiming,
         knownRevision: () => this.replicas.targets.revision,
-      }).subscribe((change) => {
-        if (change.kind === "away") this.targetRegistry.markStoreUnavailable();
-        if (change.kind === "back") {
-          this.targetRegistry.markStoreAvailable();
-          this.storeReturns.next();
-        }
-        this.applyChange(tables.targets, this.replicas.targets, change, (rows) => {
-          this.applyTargets(rows);
-        });
-      }),
+      }).subscribe(
+        guardCallback(logger, "target feed", (change: TableChange) => {
+          if (change.kind === "away") this.targetRegistry.markStoreUnavailable();
+          if (change.kind === "back") {
+            this.targetRegistry.markStoreAvailable();
+            this.storeReturns.next();
+          }
+          this.applyChange(tables.targets, this.replicas.targets, change, (rows) => {
+            this.applyTargets(rows);
+          });
+        }),
+      ),
     );
     subscription.add(
       store.era.changes.subscribe((change) => {
@@ -220,7 +225,7 @@
   // Returns whether the document is in force now.
   private takeDocument(value: Buffer, from: string): boolean {
     const { logger, readDocument } = this.dependencies;
-    const read = readDocument(value);
+    const read = decode(() => readDocument(value));
     if (read.isErr) {
       logger.error("settings not readable", { from, reason: read.error });
       return false;
@@ -244,10 +249,19 @@
         this.targetRegistry.markUnlisted(key, lapseGrace);
         continue;
       }
-      const target = readTarget(key, value);
+      const target = decode(() => readTarget(key, value));
       if (target.isOk)
         this.targetRegistry.addOrUpdate(target.value, this.replicas.targets.revision.era);
       else logger.warn("target entry could not be decoded", { target: key, reason: target.error });
     }
   }
 }
+
+// An exception for one row must not keep the others from being applied.
+function decode<Value>(read: () => Result<Value, string>): Result<Value, string> {
+  try {
+    return read();
+  } catch (error) {
+    return Result.err(String(error));
+  }
+}
