Write the rows of an entry VM again after each restore of the store

What callers could see: after a restore and a restart of all entry VMs, requests with a part that crashes engines are sent on again, since its verdict is lost (BUDGET); and an entry VM without a seed that answers finds fewer of the others.

Cause: an entry VM wrote its registration once, without a second try, and took a verdict for stored for good once the store had acknowledged it. A restored store has lost what it acknowledged last.

The verdict's writer is still chosen by its role, so that another one takes over from an entry VM that has ended.

Tests on the code before: "an entry VM registers again after the store has lost its registration" (restored-store.test.ts) and "a verdict is written again after the store has lost it" (restored-verdicts.test.ts) fail there; own-rows.test.ts tests the new module. All pass after.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -176,7 +176,9 @@
     });
   };
   runTask("peers", (signal) => peers.run(signal));
-  runTask("registration", () => peers.register(dependencies.store, dependencies.tables.entryVms));
+  runTask("registration", (signal) =>
+    peers.register(dependencies.store, dependencies.tables.entryVms, signal),
+  );
   runTask("retry loans", (signal) => exchangeRetryLoans({ budget, peers, clock, logger }, signal));
   const quarantineParts = {
     quarantine,
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -18,6 +18,7 @@
   type TableTransfer,
 } from "@lovagebend/store";
 import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
+import { keepOwnRows } from "./own-rows.js";
 import type { ReplicatedState } from "./replicated-state.js";
 import {
   describeTables,
@@ -212,22 +213,23 @@
     this.publishedAt = -Infinity;
   }
 
-  /// Registers this entry VM in the store and reads the addresses of the others from it, for
-  /// the case that no seed answers.
-  async register(store: RowStore, table: string): Promise<void> {
+  /// Reads the addresses of the others from the store, for the case that no seed answers, and
+  /// keeps this entry VM registered there until `signal` aborts.
+  async register(store: RowStore, table: string, signal: AbortSignal): Promise<void> {
+    const { clock, logger } = this;
     const registered = await store.readTable(table);
     if (registered.isErr) {
-      this.logger.warn("reading entry VMs from the store failed", { reason: registered.error });
+      logger.warn("reading entry VMs from the store failed", { reason: registered.error });
     } else {
       for (const { key, value } of registered.value.rows) {
         const fact = value === undefined ? undefined : parseVmFact(value);
         if (fact !== undefined) this.registeredVms.set(key, fact);
       }
     }
-    const ownValue = Buffer.from(JSON.stringify(this.describeSelf()));
-    const written = await store.write(table, this.identity.name, ownValue);
-    if (written.isErr)
-      this.logger.warn("registration in the store failed", { reason: written.error });
+    const content = JSON.stringify(this.describeSelf());
+    const row = { key: this.identity.name, content, value: Buffer.from(content) };
+    const event = "entry VM registered";
+    await keepOwnRows({ store, table, clock, logger, event, listRows: () => [row] }, signal);
   }
 
   /// Exchanges with one random peer at a time until `signal` aborts.
--- a/packages/entry/src/review-quarantine.ts
+++ b/packages/entry/src/review-quarantine.ts
@@ -10,6 +10,7 @@
 import { VerdictState, type PromptQuarantine } from "@lovagebend/quarantine";
 import type { RowStore } from "@lovagebend/store";
 import * as z from "zod";
+import { keepOwnRows, type OwnRow, type OwnRowsOptions } from "./own-rows.js";
 import type { Peers } from "./peers.js";
 
 const reviewInterval: Milliseconds = 100;
@@ -44,42 +45,46 @@
   }
 }
 
-/// Reads the stored verdicts and writes new ones until `signal` aborts. Each verdict is written
-/// by one entry VM.
+/// Reads the stored verdicts and keeps new ones in the store until `signal` aborts. Each
+/// verdict is written by one entry VM.
 export async function storeVerdicts(parts: QuarantineParts, signal: AbortSignal): Promise<void> {
   const { quarantine, peers, store, table, clock, logger } = parts;
-  const stored = new Map<string, string>();
-  let hasRead = false;
-  while (!signal.aborted) {
-    if (!hasRead) hasRead = await readVerdicts(parts, stored);
-    for (const { part, generation, state, at } of quarantine.listVerdicts()) {
-      const description = describeVerdict(generation, state);
-      if (!hasRead || stored.get(part) === description) continue;
-      if (!peers.hasRole(`verdict on ${part}`)) continue;
-      const wallClockTime = clock.wallClockTime() - (clock.monotonicTime() - at);
-      const value = JSON.stringify({ generation, state, at: Math.round(wallClockTime) });
-      const written = await store.write(table, part, Buffer.from(value));
-      if (written.isOk) stored.set(part, description);
-      logger.info("verdict stored", {
-        part,
-        generation,
-        state,
-        error: written.isErr ? written.error : undefined,
-      });
-    }
+  let written = await readVerdicts(parts);
+  while (written === undefined && !signal.aborted) {
     await clock.sleep(storeRetryInterval, signal);
+    written = await readVerdicts(parts);
   }
+  if (written === undefined) return;
+  const listRows = (): OwnRow[] =>
+    quarantine
+      .listVerdicts()
+      .filter(({ part }) => peers.hasRole(`verdict on ${part}`))
+      .map(({ part, generation, state, at }) => {
+        const wallClockTime = clock.wallClockTime() - (clock.monotonicTime() - at);
+        const verdict = { generation, state, at: Math.round(wallClockTime) };
+        return {
+          key: part,
+          content: describeVerdict(generation, state),
+          value: Buffer.from(JSON.stringify(verdict)),
+        };
+      });
+  const event = "verdict stored";
+  await keepOwnRows({ store, table, clock, logger, event, listRows, written }, signal);
 }
 
-async function readVerdicts(
-  { quarantine, store, table, clock, logger }: QuarantineParts,
-  stored: Map<string, string>,
-): Promise<boolean> {
+async function readVerdicts({
+  quarantine,
+  store,
+  table,
+  clock,
+  logger,
+}: QuarantineParts): Promise<OwnRowsOptions["written"]> {
   const snapshot = await store.readTable(table);
   if (snapshot.isErr) {
     logger.warn("reading verdicts from the store failed", { reason: snapshot.error });
-    return false;
+    return undefined;
   }
+  const contents = new Map<string, string>();
   const verdicts = snapshot.value.rows.flatMap(({ key: part, value }) => {
     if (value === undefined) return [];
     const verdict = parseJson(storedVerdictSchema, value.toString("utf8"));
@@ -88,7 +93,7 @@
       return [];
     }
     const { generation, state, at } = verdict.value;
-    stored.set(part, describeVerdict(generation, state));
+    contents.set(part, describeVerdict(generation, state));
     // The wall clock may have been set back since.
     return [{ part, generation, state, age: Math.max(0, clock.wallClockTime() - at) }];
   });
@@ -96,7 +101,7 @@
     quarantine.merge({ records: [], verdicts }, clock.monotonicTime());
     logger.info("verdicts read from the store", { parts: verdicts.map(({ part }) => part) });
   }
-  return true;
+  return { era: snapshot.value.era, contents };
 }
 
 function describeVerdict(generation: number, state: VerdictState): string {
