Facts of an entry VM count although its clock was set back

What callers could see: an entry VM that was started again after its clock had been set back is ignored by its peers for up to 15 seconds: it gets no role, its suspicions of targets do not spread, and its peers count one entry VM less in the shares of budgets and limits.

Cause: the versions of an entry VM's facts begin at its wall clock, and a peer keeps the facts with the higher version until they expire: "higher is newer" across a restart of the source, as with the versions of a restored store.

Fix: the digest that a peer sends shows which version it holds of this entry VM's facts. If it is above the own one, the own version rises above it and the facts held are published again.

Test clock-set-back.test.ts, "an entry VM's facts count at a peer that holds those of a later clock": before, the reply carries none of them; passes after.

--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -293,6 +293,10 @@
 
   // Returns the message's part on the quarantine if it is valid.
   private mergeMessage(message: PeerMessage, peer: string): QuarantineExchange | undefined {
+    if (this.gossip.riseAbove(message.digest)) {
+      const version = message.digest[this.identity.name];
+      this.logger.warn("peer holds facts of an earlier start", { peer, version });
+    }
     const newFacts = this.gossip.merge(message.facts, this.clock.monotonicTime());
     const suspicions = newFacts.filter(
       ({ key, age }) => key === suspicionsFactKey && age <= maximumSuspicionAge,
--- a/packages/membership/src/gossip-state.ts
+++ b/packages/membership/src/gossip-state.ts
@@ -4,7 +4,7 @@
 
 /// A fact that `owner` published under `key`. `version` increases with each publication of
 /// the owner, across all its facts; after a restart the owner begins above every earlier
-/// version. `age` is the time in milliseconds since the owner published the fact.
+/// version, or rises above it when a peer's digest shows one. `age` is the time in milliseconds since the owner published the fact.
 export interface GossipEntry {
   readonly owner: string;
   readonly key: string;
@@ -28,8 +28,9 @@
   private readonly held = new Map<string, HeldFact>();
 
   /// `version` is the starting version of `owner`: its wall clock in milliseconds at process
-  /// start. It exceeds every version of an earlier start, because the clock is later and
-  /// advances faster than the version, which increases a few times per second.
+  /// start. It exceeds every version of an earlier start unless the clock was set back in
+  /// between, because the clock advances faster than the version, which increases a few times
+  /// per second.
   constructor(
     private readonly owner: string,
     private version: number,
@@ -42,6 +43,21 @@
     this.store({ owner: this.owner, key, version: this.version, age: 0, value }, now);
   }
 
+  /// Raises the own version above the one that a peer's digest shows for this entry VM: that of
+  /// an earlier start, at which the clock was ahead. Until then the peer ignores the facts of
+  /// this start. Returns whether the version was raised.
+  riseAbove(digest: GossipDigest): boolean {
+    const shown = digest[this.owner] ?? 0;
+    if (shown <= this.version) return false;
+    this.version = shown;
+    for (const { entry, receivedAt } of [...this.held.values()]) {
+      if (entry.owner !== this.owner) continue;
+      this.version += 1;
+      this.store({ ...entry, version: this.version }, receivedAt);
+    }
+    return true;
+  }
+
   /// Merges a peer's facts. Returns those that are newer than the facts held so far.
   merge(entries: readonly GossipEntry[], now: number): GossipEntry[] {
     return entries.filter((entry) => {
