Accept no era that a store cannot have reached

What callers would see: after one message of a peer, or one answer of the store, with an era of 99,999,999, every true answer of the store counted as late, and no settings came into force any more, at this entry VM and at all that it talks to (CONFIG). Found by a review, not seen in a deployment.

Cause: the era is a number from outside of which the higher one counts, and nothing bounded it. An era as text compared in an unexpected way, and an era of the document's table alone was not passed on to the feeds, which then read the table in a loop.

The feeds follow the later era of both tables.

What remains: an era within the bound that is wrong by a few is believed until the store has passed it.

--- a/packages/entry/src/peer-message.ts
+++ b/packages/entry/src/peer-message.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from "@lovagebend/common";
 import type { GossipEntry } from "@lovagebend/membership";
 import type { QuarantineExchange } from "@lovagebend/quarantine";
-import type { Era, StoredRow, TableTransfer } from "@lovagebend/store";
+import { isEra, type Era, type StoredRow, type TableTransfer } from "@lovagebend/store";
 
 /// A row of a table as JSON. `value` is base64, or `null` if the row was removed.
 export interface WireRow {
@@ -87,11 +87,13 @@
 }
 
 /// The tables of a message. A sender of an older version names no eras: its rows count as of
-/// `unnamedEra`.
+/// `unnamedEra`. `undefined` if an era cannot be one.
 export function readTables(
   { versions, histories, rows }: Pick<PeerMessage, "versions" | "histories" | "rows">,
   unnamedEra: Era,
-): Tables {
+): Tables | undefined {
+  if (histories !== undefined && !(isEra(histories.document.era) && isEra(histories.targets.era)))
+    return undefined;
   const read = (name: keyof Tables): TableTransfer => ({
     rows: fromWireRows(rows[name]),
     revision: { era: histories?.[name].era ?? unnamedEra, version: versions[name] },
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -313,6 +313,10 @@
 
   private mergeState(message: PeerMessage, peer: string): void {
     const tables = readTables(message, this.storeEra.first);
+    if (tables === undefined) {
+      this.logger.warn("ignoring tables of a peer with an invalid era", { peer });
+      return;
+    }
     const document = message.settings?.value ?? undefined;
     const isEmpty = ({ rows, isWhole }: TableTransfer): boolean => rows.length === 0 && !isWhole;
     if (isEmpty(tables.document) && isEmpty(tables.targets) && document === undefined) return;
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -164,7 +164,8 @@
     const targets = this.update(names.targets, replicas.targets, tables.targets, peer);
     const isNewEra = replicas.targets.revision.era > era;
     if (isNewEra) targetRegistry.markStoreRestored(lapseGrace);
-    store.era.observePeer(replicas.targets.revision.era, peer);
+    for (const { revision } of [replicas.targets, replicas.document])
+      store.era.observePeer(revision.era, peer);
     this.applyDocuments(documents, peer);
     const hasLaterDocument = document !== undefined && this.takeDocument(document, peer);
     // An entry VM that polls the store directly detects its outages itself.
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -7,6 +7,6 @@
   type TableChange,
   type FollowTableOptions,
 } from "./table-follower.js";
-export { initialEra, StoreEra, storeSource, type Era, type EraChange } from "./store-era.js";
+export { initialEra, isEra, StoreEra, storeSource, type Era, type EraChange } from "./store-era.js";
 export { isLater, type Revision } from "./revision.js";
 export { TableReplica, type TableTransfer } from "./table-replica.js";
--- a/packages/store/src/store-era.ts
+++ b/packages/store/src/store-era.ts
@@ -6,6 +6,14 @@
 /// A store that names no era is in `initialEra`.
 export type Era = number;
 export const initialEra: Era = 0;
+// Far above the number of restores in the life of a store.
+const maximumEra: Era = 999_999;
+
+/// Whether a value from outside can be an era. A wrong one that is accepted makes all answers of
+/// an earlier era count as late.
+export function isEra(value: unknown): value is Era {
+  return Number.isSafeInteger(value) && Number(value) >= initialEra && Number(value) <= maximumEra;
+}
 
 /// `source` is who reported the new era: the store or a peer.
 export interface EraChange {
