Give up a state of a table that the store has not reached

What callers would see: after a message of a peer with rows of a version that the store has not reached, the feed asked for changes after it, got 410, read the whole table, lost it to the later version, and began again: no settings came into force until the store's versions had passed that number (CONFIG). Found by a review; the same loop as after a restore, within one era.

Now a state that is still later than what the store reads 4 s after the first such read is replaced by what the store reads. A single read that lags behind peers still changes nothing. It also covers a store that goes back without naming an era.

--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -188,7 +188,8 @@
       case "rows": {
         const isWhole = change.kind === "whole";
         const { rows, era, version } = change;
-        const transfer = { rows, revision: { era, version }, isWhole };
+        const replacesLater = change.kind === "whole" && change.replacesLater;
+        const transfer = { rows, revision: { era, version }, isWhole, replacesLater };
         const changed = this.update(table, replica, transfer, storeSource);
         applyRows(changed);
         if (changed.length > 0) this.onStoreChanges();
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -6,11 +6,16 @@
 import { isLater, type Revision } from "./revision.js";
 import type { RowStore, StoredRow } from "./row-store.js";
 
-/// `whole`: all rows of the table; any other row was removed. `rows`: the rows that
+/// `whole`: all rows of the table; any other row was removed. It replaces a later state if
+/// `replacesLater`, since that one cannot be the store's. `rows`: the rows that
 /// changed since the last snapshot of the same era. `away`: a call to the store failed. `back`: the first call after that succeeded;
 /// emitted before its rows, and also if it returned none.
 export type TableChange =
-  | ({ readonly kind: "whole"; readonly rows: readonly StoredRow[] } & Revision)
+  | ({
+      readonly kind: "whole";
+      readonly rows: readonly StoredRow[];
+      readonly replacesLater: boolean;
+    } & Revision)
   | ({ readonly kind: "rows"; readonly rows: readonly StoredRow[] } & Revision)
   | { readonly kind: "away"; readonly reason: string }
   | { readonly kind: "back" };
@@ -51,6 +56,10 @@
 // that lapsed during the outage may still return.
 const recoveryPollTimeout: Milliseconds = 100;
 
+// A read may lag behind what peers know. A state that is still later after this time is not one
+// of the store.
+const maximumReadLag: Milliseconds = 4_000;
+
 /// Emits changes until unsubscribed. The observable never errors and never completes.
 export function followTable(options: FollowTableOptions): Observable<TableChange> {
   return new Observable((subscriber) => {
@@ -78,6 +87,7 @@
   let reached: Revision | undefined;
   let retryDelay = initialRetryDelay;
   let isUnavailable = false;
+  let behindSince: Milliseconds | undefined;
   let batchingDelay = readTiming().minimumBatchingDelay;
   let interruption = new AbortController();
   const interrupts = merge(options.pollRepeats ?? NEVER, store.era.changes).subscribe(() => {
@@ -125,10 +135,16 @@
         reached = undefined;
         continue;
       case "whole":
-        emit(change);
+        if (isLater(known, change)) behindSince ??= requestedAt;
+        else behindSince = undefined;
+        emit({
+          ...change,
+          replacesLater: behindSince !== undefined && requestedAt - behindSince > maximumReadLag,
+        });
         reached = { era: change.era, version: change.version };
         break;
       case "changed":
+        behindSince = undefined;
         if (change.rows.length > 0) emit({ ...change, kind: "rows" });
         reached = { era: change.era, version: change.version };
         break;
--- a/packages/store/src/table-replica.ts
+++ b/packages/store/src/table-replica.ts
@@ -11,6 +11,8 @@
   readonly rows: readonly StoredRow[];
   readonly revision: Revision;
   readonly isWhole: boolean;
+  /// Set if the rows, as a whole, also replace a later state.
+  readonly replacesLater?: boolean;
 }
 
 /// Holds the complete table as of `revision`, and possibly later changes. All rows are of one
@@ -30,17 +32,22 @@
 
   /// Merges a snapshot of the whole table. Returns the rows that changed, including a
   /// tombstone for each removed row. A snapshot of a later era replaces all rows, so that
-  /// all of them are returned; one of a state that the replica has passed changes nothing.
-  applySnapshot(rows: readonly StoredRow[], revision: Revision): StoredRow[] {
+  /// all of them are returned; one of a state that the replica has passed changes nothing,
+  /// unless it `replacesLater`.
+  applySnapshot(
+    rows: readonly StoredRow[],
+    revision: Revision,
+    replacesLater = false,
+  ): StoredRow[] {
     const { era, version } = revision;
-    if (!isLater(revision, this.reached)) return [];
-    const isNewEra = era > this.reached.era;
+    if (!replacesLater && !isLater(revision, this.reached)) return [];
+    const replacesAll = replacesLater || era > this.reached.era;
     const present = new Set(rows.map(({ key }) => key));
     const removed = [...this.rows.values()]
       .filter((row) => row.value !== undefined && !present.has(row.key))
-      .filter((row) => isNewEra || row.version <= version)
+      .filter((row) => replacesAll || row.version <= version)
       .map(({ key }) => ({ key, version, value: undefined }));
-    if (isNewEra) this.rows = new Map();
+    if (replacesAll) this.rows = new Map();
     this.removalsKnownSince = version;
     return this.merge([...rows, ...removed], revision);
   }
@@ -63,8 +70,8 @@
   }
 
   /// Merges what another replica sent. Returns the rows that changed.
-  applyTransfer({ rows, revision, isWhole }: TableTransfer): StoredRow[] {
-    return isWhole ? this.applySnapshot(rows, revision) : this.apply(rows, revision);
+  applyTransfer({ rows, revision, isWhole, replacesLater }: TableTransfer): StoredRow[] {
+    return isWhole ? this.applySnapshot(rows, revision, replacesLater) : this.apply(rows, revision);
   }
 
   /// What a replica at `known` lacks, tombstones included: the whole table if `known` is of an
