Do not take rows without an era for those of a restored store

What callers would see: in an update to this version, a machine that starts after a restore beside machines of the older version took their rows, which name no era, as of the era in which it had started. Rows of before the restore with high versions were then passed on under the new era, also to machines that had been right, and settings written later were not in force (CONFIG).

Now rows without an era count only at a process that started before any restore; elsewhere they are of an earlier era.

"rows without an era are not taken for those of a restored store" fails before at both machines and passes after.

--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -312,7 +312,7 @@
   }
 
   private mergeState(message: PeerMessage, peer: string): void {
-    const tables = readTables(message, this.storeEra.first);
+    const tables = readTables(message, this.storeEra.unnamed);
     if (tables === undefined) {
       this.logger.warn("ignoring tables of a peer with an invalid era", { peer });
       return;
--- a/packages/store/src/store-era.ts
+++ b/packages/store/src/store-era.ts
@@ -6,6 +6,8 @@
 /// A store that names no era is in `initialEra`.
 export type Era = number;
 export const initialEra: Era = 0;
+// The era of a store that names eras and has never been restored.
+const firstNamedEra: Era = 1;
 // Far above the number of restores in the life of a store.
 const maximumEra: Era = 999_999;
 
@@ -37,9 +39,11 @@
     return this.known ?? initialEra;
   }
 
-  /// The first era that was reported, or the current one if none was.
-  get first(): Era {
-    return this.reportedFirst ?? this.current;
+  /// The era of rows of which none is named. It is that in which this process started, unless
+  /// the store has been restored before: then the rows may be of any earlier era.
+  get unnamed(): Era {
+    const first = this.reportedFirst ?? this.current;
+    return first <= firstNamedEra ? first : initialEra;
   }
 
   /// Emits when the store has come back from a copy since this process started. The first era
