Move a begun stream also to engines that refused it before

Cause: the new check whether a stream has another path left out the engines that had refused the stream earlier. The search after it, for an answer that has begun, does not: it tries them again. The stream stayed on its engine although it could have moved.

streams, leaving and silent-targets tests pass. This case has no test of its own.

--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -512,19 +512,17 @@
     this.dispatchAbort.abort();
   }
 
-  // An answer that has begun is not sent to engines that recently refused requests, as its next
-  // dispatch prefers others.
+  // Whether `findPath` would find a path at once, or soon for an answer that has begun.
   private canReplace(urgency: Urgency, excluded: readonly string[]): boolean {
-    const allExcluded = [...this.excludedTargets, ...excluded];
     switch (urgency) {
       case Urgency.WhileItRuns:
         return false;
       case Urgency.Soon:
-        return this.paths.hasPathWithoutRefusing(allExcluded);
+        return this.paths.hasPathWithoutRefusing(excluded);
       case Urgency.Now:
         return this.answer.hasBegun
-          ? this.paths.hasPathWithoutRefusing(allExcluded)
-          : this.paths.hasPath(allExcluded);
+          ? this.paths.hasPathWithoutRefusing(excluded)
+          : this.paths.hasPath([...this.excludedTargets, ...excluded]);
     }
   }
 }
