Keep live targets that a restored table of a peer lacks

What callers could see: live targets out of use for seconds after a restore, and 503, on entry VMs that learn of it from a peer that started after it.

Cause: two parts of one gap. The grace period for entries that the copy lacks was the peer's, which knows of none if it started after the restore. And the era that a peer's document names was not taken, only that of the targets.

Fix: each entry VM begins the whole grace period when it learns of a new era, from whomever; rows that replace its targets in a new era get it too. The era of either table counts.

Tests in lapsed-entries.test.ts on the code before: "a live target missing from a restored table of a peer is kept" (without an outage, and in one) and "an era that only a peer's document names begins the grace period" fail; pass after.

--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -99,11 +99,9 @@
   }
 
   /// Records that the store has come back from a copy, which may lack the entries of live
-  /// targets. `grace` is how much longer they may take to return.
-  markStoreRestored(grace: Milliseconds = entryGracePeriod): void {
-    const availableSince =
-      this.clock.monotonicTime() + Math.min(grace, entryGracePeriod) - entryGracePeriod;
-    this.storeAvailableSince = Math.max(this.storeAvailableSince, availableSince);
+  /// targets. Their grace period begins.
+  markStoreRestored(): void {
+    this.storeAvailableSince = this.clock.monotonicTime();
   }
 
   /// Applies a new or changed entry of the store's `era`.
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -141,7 +141,7 @@
           targetsVersion: targets.revision.version,
           readAgain: [tables.document, tables.targets],
         });
-        if (change.source === storeSource) this.targetRegistry.markStoreRestored();
+        this.targetRegistry.markStoreRestored();
       }),
     );
     return subscription;
@@ -156,13 +156,17 @@
     const documents = this.update(names.document, replicas.document, tables.document, peer);
     const targets = this.update(names.targets, replicas.targets, tables.targets, peer);
     const isNewEra = replicas.targets.revision.era > era;
-    if (isNewEra) targetRegistry.markStoreRestored(lapseGrace);
-    store.era.observePeer(replicas.targets.revision.era, peer);
+    store.era.observePeer(
+      Math.max(replicas.document.revision.era, replicas.targets.revision.era),
+      peer,
+    );
     this.applyDocuments(documents, peer);
     const hasLaterDocument = document !== undefined && this.takeDocument(document, peer);
     // An entry VM that polls the store directly detects its outages itself.
-    const hasOwnView = this.shouldFollowDirectly() && targetRegistry.isStoreAvailable && !isNewEra;
-    this.applyTargets(targets, hasOwnView ? 0 : lapseGrace);
+    const hasOwnView = this.shouldFollowDirectly() && targetRegistry.isStoreAvailable;
+    const ordinaryGrace = hasOwnView ? 0 : lapseGrace;
+    // The peer may have started after the restore, so that it knows of no grace.
+    this.applyTargets(targets, isNewEra ? Infinity : ordinaryGrace);
     return documents.length > 0 || targets.length > 0 || hasLaterDocument;
   }
 
--- a/packages/entry/test/lapsed-entries.test.ts
+++ b/packages/entry/test/lapsed-entries.test.ts
@@ -215,3 +215,36 @@
   t.notOk(targetRegistry.isStaying("b"));
   end();
 });
+
+// Guards against removing live targets: a peer that started after the store came back from a copy
+// knows of no outage, and its table lacks the targets that have not written again yet.
+for (const outage of [Outage.None, Outage.Refusing])
+  t.test(`a live target missing from a restored table of a peer is kept (${outage})`, async (t) => {
+    const { clock, targetRegistry, replicatedState, store, end } = await startScenario(outage);
+    store.era.observeAnswer(1);
+    const document = { rows: [], revision: { era: 2, version: 0 }, isWhole: true };
+    const row = { key: "b", version: 1, value: Buffer.from("entry") };
+    const targets = { rows: [row], revision: { era: 2, version: 1 }, isWhole: true };
+    const sent = { tables: { document, targets }, document: undefined, lapseGrace: 0 };
+    replicatedState.mergePeerState(sent, "peer");
+    await clock.advanceTo(outageStart + returnBound);
+    t.ok(targetRegistry.isStaying("a"), "kept until it has had time to be listed again");
+    await clock.advanceTo(outageStart + returnBound + drainBound);
+    t.notOk(targetRegistry.isStaying("a"));
+    t.ok(targetRegistry.isStaying("b"));
+    end();
+  });
+
+// Guards against an entry VM that learns of a restore from the document and reads the targets
+// without a grace period.
+t.test("an era that only a peer's document names begins the grace period", async (t) => {
+  const { targetRegistry, replicatedState, store, end } = await startScenario(Outage.None);
+  store.era.observeAnswer(1);
+  const document = { rows: [], revision: { era: 2, version: 0 }, isWhole: true };
+  const targets = { rows: [], revision: { era: initialEra, version: -1 }, isWhole: false };
+  const sent = { tables: { document, targets }, document: undefined, lapseGrace: 0 };
+  replicatedState.mergePeerState(sent, "peer");
+  t.equal(store.era.current, 2);
+  t.ok(targetRegistry.getRemainingGrace() >= returnBound);
+  end();
+});
