Messages of peers and entries of entry VMs are validated

A message of a peer was cast to its type, and so was the entry of an entry VM in the store. A fact without a value, or a fact of an entry VM that is a number, ended the process: the next look at the facts throws. An address that is none reached the HTTP client in the task that exchanges with peers, and a grace that is no number kept a removed target listed.

readPeerMessage checks each part: facts with their values by key, versions, digest, rows, and the grace. An invalid part is left out and logged, `ignoring invalid parts of a peer's message`; the rest holds. Unknown fields, and facts with unknown keys, are kept for peers of other versions. readVmFact checks the entries of entry VMs, `ignoring invalid entry VM`. parseIpAddress is now the one check of an address.

Test "odd messages of peers neither end the process nor disturb its peers" (a process of its own) fails before: the process ends with TypeError: Cannot read properties of undefined (reading 'filter') in GossipState.merge; passes after. "odd entries of entry VMs are ignored, and the others are used" waits for a log line that the old code doesn't write; its failure there was not seen to the end. quarantine, entry, relayed-feed and propagation tests pass with them (704 assertions).

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -17,6 +17,7 @@
   JsonResponse,
 } from "./http-exchange.js";
 export { guardCallback, runDetached } from "./detached.js";
+export { parseIpAddress } from "./ip-address.js";
 export { alignColumns } from "./columns.js";
 export { createLogger } from "./logger.js";
 export type { Logger, LogSink } from "./logger.js";
--- /dev/null
+++ b/packages/entry/src/peer-message-schema.ts
@@ -0,0 +1,111 @@
+//! Validates the messages of peers and the entries that entry VMs write about themselves. Peers
+//! may run an older or a newer version, so unknown fields are kept as they are.
+import { describeIssues, parseIpAddress, parseJson, validate } from "@lovagebend/common";
+import type { GossipEntry } from "@lovagebend/membership";
+import type { Result } from "true-myth";
+import * as z from "zod";
+import type { PeerMessage, TableVersions, VmFact, WireRow } from "./peer-message.js";
+
+/// The keys of the facts that entry VMs publish.
+export const factKeys = { vm: "vm", suspicions: "doubts", limits: "limits" } as const;
+
+const maximumNameLength = 200;
+const maximumSuspicions = 10_000;
+
+// Names are used as the keys of objects.
+const nameSchema = z
+  .string()
+  .min(1)
+  .max(maximumNameLength)
+  .refine((name) => !(name in Object.prototype), "a name");
+const versionSchema = z.number().int().min(-1);
+const durationSchema = z.number().min(0);
+const factSchema = z.object({
+  owner: nameSchema,
+  key: nameSchema,
+  version: z.number().int().nonnegative(),
+  age: durationSchema,
+  value: z.unknown(),
+});
+const vmFactSchema = z.object({
+  address: z
+    .string()
+    .refine((text) => parseIpAddress(text) !== undefined, "an IPv4 address and a port"),
+  dataCentre: z.string().min(1).max(maximumNameLength),
+  isStopping: z.boolean().default(false),
+});
+const suspicionsSchema = z.array(z.string().max(maximumNameLength)).max(maximumSuspicions);
+const rowSchema = z.object({
+  key: z.string().max(maximumNameLength),
+  version: z.number().int().nonnegative(),
+  value: z.string().nullable(),
+});
+const versionsSchema = z.object({ document: versionSchema, targets: versionSchema });
+const digestSchema = z.record(nameSchema, z.number().nonnegative());
+const envelopeSchema = z.looseObject({
+  digest: z.unknown(),
+  versions: z.unknown(),
+  facts: z.array(z.unknown()),
+  rows: z.object({ document: z.array(z.unknown()), targets: z.array(z.unknown()) }),
+  lapseGrace: z.unknown(),
+});
+
+const unknownVersions: TableVersions = { document: -1, targets: -1 };
+
+/// Reads a message. Invalid parts are left out and described in `faults`. Returns an error if
+/// it is no message.
+export function readPeerMessage(
+  value: unknown,
+): Result<{ readonly message: PeerMessage; readonly faults: readonly string[] }, string> {
+  return validate(envelopeSchema, value)
+    .mapErr(describeIssues)
+    .map((envelope) => {
+      const faults: string[] = [];
+      const readPart = <Part>(label: string, schema: z.ZodType<Part>, part: unknown) => {
+        const read = validate(schema, part);
+        if (read.isOk) return read.value;
+        faults.push(`${label}: ${describeIssues(read.error)}`);
+        return undefined;
+      };
+      const readParts = <Part>(
+        label: string,
+        schema: z.ZodType<Part>,
+        parts: readonly unknown[],
+      ): Part[] => parts.flatMap((part) => readPart(label, schema, part) ?? []);
+      const facts = readParts<GossipEntry>("fact", factSchema, envelope.facts).filter(
+        ({ key, value: fact }) => readPart(`fact ${key}`, findValueSchema(key), fact) !== undefined,
+      );
+      const versions = readPart("versions", versionsSchema, envelope.versions);
+      const readRows = (rows: readonly unknown[]): WireRow[] =>
+        versions === undefined ? [] : readParts("row", rowSchema, rows);
+      const message: PeerMessage = {
+        ...envelope,
+        digest: readPart("digest", digestSchema, envelope.digest) ?? {},
+        versions: versions ?? unknownVersions,
+        facts,
+        rows: {
+          document: readRows(envelope.rows.document),
+          targets: readRows(envelope.rows.targets),
+        },
+        lapseGrace: readPart("grace", durationSchema, envelope.lapseGrace) ?? 0,
+      };
+      return { message, faults };
+    });
+}
+
+/// Reads the entry of an entry VM in the store.
+export function readVmFact(value: Buffer): Result<VmFact, string> {
+  return parseJson(vmFactSchema, value.toString("utf8")).mapErr(describeIssues);
+}
+
+// The values of other keys are those of another version, and only passed on.
+function findValueSchema(key: string): z.ZodType {
+  switch (key) {
+    case factKeys.vm:
+      return vmFactSchema;
+    case factKeys.suspicions:
+      return suspicionsSchema;
+    default:
+      return z.unknown().refine((value) => value !== undefined, "a value");
+  }
+}
--- a/packages/entry/src/peer-message.ts
+++ b/packages/entry/src/peer-message.ts
@@ -41,18 +41,6 @@
   readonly isStopping: boolean;
 }
 
-// Returns `undefined` if the entry is invalid or was written by another version in another
-// format.
-export function parseVmFact(value: Buffer): VmFact | undefined {
-  try {
-    const fact = JSON.parse(value.toString("utf8")) as Partial<VmFact>;
-    const isReadable = typeof fact.address === "string" && typeof fact.dataCentre === "string";
-    return isReadable ? (fact as VmFact) : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 export function toWireRows(rows: readonly StoredRow[]): WireRow[] {
   return rows.map(({ key, version, value }) => ({
     key,
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -3,7 +3,9 @@
 //! its cost does not grow with the number of entry VMs.
 import {
   exchangeJson,
+  parseJsonText,
   rankByRendezvousHash,
+  validate,
   type Clock,
   type Logger,
   type Milliseconds,
@@ -11,11 +13,18 @@
 import { GossipState } from "@lovagebend/membership";
 import type { PromptQuarantine, QuarantineExchange } from "@lovagebend/quarantine";
 import type { RowStore } from "@lovagebend/store";
-import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
+import {
+  createJSONRPCErrorResponse,
+  JSONRPCClient,
+  JSONRPCErrorCode,
+  JSONRPCServer,
+  type JSONRPCResponse,
+} from "json-rpc-2.0";
+import * as z from "zod";
 import type { ReplicatedState } from "./replicated-state.js";
+import { factKeys, readPeerMessage, readVmFact } from "./peer-message-schema.js";
 import {
   fromWireRows,
-  parseVmFact,
   toWireRows,
   type PeerMessage,
   type TableVersions,
@@ -24,9 +33,6 @@
 import type { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { EntryIdentity } from "./entry-dependencies.js";
 
-const vmFactKey = "vm";
-const suspicionsFactKey = "doubts";
-const limitsFactKey = "limits";
 // Covers the duration of the shortest suspicion plus the time that gossip takes to spread.
 const maximumSuspicionAge: Milliseconds = 1_500;
 const factLifetime: Milliseconds = 15_000;
@@ -46,10 +52,20 @@
 const localExchangeShareWithManyPeers = 0.9;
 const explorationShare = 0.2;
 const exchangeMethod = "exchange";
+const maximumLoggedFaults = 5;
+const callSchema = z.looseObject({
+  jsonrpc: z.literal("2.0"),
+  method: z.string(),
+  id: z.union([z.string(), z.number(), z.null()]).optional(),
+});
 
 export class Peers {
   private readonly gossip: GossipState;
-  private readonly server = new JSONRPCServer();
+  private readonly server = new JSONRPCServer({
+    errorListener: (message, data) => {
+      this.logger.warn("call of a peer failed", { reason: message, detail: String(data) });
+    },
+  });
   private readonly registeredVms = new Map<string, VmFact>();
   private publishedAt: Milliseconds = -Infinity;
   private triggeredAt: Milliseconds = -Infinity;
@@ -66,12 +82,16 @@
   ) {
     // Versions start at the wall clock, which is later at each restart of the same entry VM.
     this.gossip = new GossipState(identity.name, clock.wallClockTime(), factLifetime);
-    this.server.addMethod(exchangeMethod, (message: PeerMessage) => this.handleExchange(message));
+    this.server.addMethod(exchangeMethod, (message: unknown) =>
+      this.handleExchange(this.readMessage(message, "caller")),
+    );
   }
 
   /// Handles a JSON-RPC call from a peer and returns the JSON-RPC reply.
-  receive(body: string): PromiseLike<JSONRPCResponse | null> {
-    return this.server.receiveJSON(body) as PromiseLike<JSONRPCResponse | null>;
+  async receive(body: string): Promise<JSONRPCResponse | null> {
+    const call = validate(callSchema, parseJsonText(body).unwrapOr(undefined));
+    if (call.isErr) return createJSONRPCErrorResponse(null, JSONRPCErrorCode.InvalidRequest, "");
+    return this.server.receive({ ...call.value, id: call.value.id ?? null });
   }
 
   /// The names of the entry VMs that are live and not stopping, including this one; sorted.
@@ -141,7 +161,7 @@
   /// The targets that some entry VM suspects, according to recent gossip.
   findSuspectedTargets(): string[] {
     return this.gossip
-      .facts(suspicionsFactKey, this.clock.monotonicTime())
+      .facts(factKeys.suspicions, this.clock.monotonicTime())
       .filter(({ age }) => age <= maximumSuspicionAge)
       .flatMap(({ value }) => value as string[]);
   }
@@ -205,8 +225,10 @@
       this.logger.warn("reading entry VMs from the store failed", { reason: registered.error });
     } else {
       for (const { key, value } of registered.value.rows) {
-        const fact = value === undefined ? undefined : parseVmFact(value);
-        if (fact !== undefined) this.registeredVms.set(key, fact);
+        if (value === undefined) continue;
+        const fact = readVmFact(value);
+        if (fact.isOk) this.registeredVms.set(key, fact.value);
+        else this.logger.warn("ignoring invalid entry VM", { entryVm: key, reason: fact.error });
       }
     }
     const ownValue = Buffer.from(JSON.stringify(this.describeSelf()));
@@ -250,18 +272,33 @@
       const ownMessage = this.composeMessage({ digest: {}, versions: this.readTableVersions() }, [
         this.identity.name,
       ]);
-      const reply = (await client.request(exchangeMethod, ownMessage)) as PeerMessage;
+      const reply = this.readMessage(await client.request(exchangeMethod, ownMessage), address);
       const quarantine = this.mergeMessage(reply, address);
       const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
       if (!this.hasNewerRowsThan(reply) && !differs) return;
       const ownReply = this.composeMessage({ ...reply, quarantine });
-      this.mergeMessage((await client.request(exchangeMethod, ownReply)) as PeerMessage, address);
+      const secondReply: unknown = await client.request(exchangeMethod, ownReply);
+      this.mergeMessage(this.readMessage(secondReply, address), address);
     } catch (error) {
       if (!signal.aborted)
         this.logger.info("call to peer failed", { peer: address, reason: String(error) });
     }
   }
 
+  // Throws if `value` is no message, which ends the exchange.
+  private readMessage(value: unknown, peer: string): PeerMessage {
+    const read = readPeerMessage(value);
+    if (read.isErr) throw new Error(`invalid message: ${read.error}`);
+    const { message, faults } = read.value;
+    if (faults.length > 0)
+      this.logger.warn("ignoring invalid parts of a peer's message", {
+        peer,
+        count: faults.length,
+        faults: faults.slice(0, maximumLoggedFaults),
+      });
+    return message;
+  }
+
   private handleExchange(message: PeerMessage): PeerMessage {
     const quarantine = this.mergeMessage(message, "caller");
     this.publishOwnFacts();
@@ -272,13 +309,13 @@
   private mergeMessage(message: PeerMessage, peer: string): QuarantineExchange | undefined {
     const newFacts = this.gossip.merge(message.facts, this.clock.monotonicTime());
     const suspicions = newFacts.filter(
-      ({ key, age }) => key === suspicionsFactKey && age <= maximumSuspicionAge,
+      ({ key, age }) => key === factKeys.suspicions && age <= maximumSuspicionAge,
     );
     const suspectedTargets = suspicions.flatMap(({ value }) => value as string[]);
     if (this.replicatedState.targetRegistry.recordPeerSuspicions(suspectedTargets))
       this.triggerExchange();
     for (const { key, value, age } of newFacts)
-      if (key === limitsFactKey && this.requestLimiter.mergeLimits(value, age))
+      if (key === factKeys.limits && this.requestLimiter.mergeLimits(value, age))
         this.triggerExchange();
     this.mergeRows(message, peer);
     return this.mergeQuarantine(message, peer);
@@ -340,12 +377,13 @@
   private publishOwnFacts(): void {
     const now = this.clock.monotonicTime();
     const suspectedTargets = this.replicatedState.targetRegistry.getSuspectedTargets();
-    if (suspectedTargets.length > 0) this.gossip.publish(suspicionsFactKey, suspectedTargets, now);
+    if (suspectedTargets.length > 0)
+      this.gossip.publish(factKeys.suspicions, suspectedTargets, now);
     if (now - this.publishedAt < publishInterval) return;
     this.publishedAt = now;
     const limits = this.requestLimiter.describeLimits();
-    if (limits.length > 0) this.gossip.publish(limitsFactKey, limits, now);
-    this.gossip.publish(vmFactKey, this.describeSelf(), now);
+    if (limits.length > 0) this.gossip.publish(factKeys.limits, limits, now);
+    this.gossip.publish(factKeys.vm, this.describeSelf(), now);
   }
 
   private describeSelf(): VmFact {
@@ -355,7 +393,7 @@
 
   private findVmFacts() {
     return this.gossip
-      .facts(vmFactKey, this.clock.monotonicTime())
+      .facts(factKeys.vm, this.clock.monotonicTime())
       .map(({ owner, age, value }) => ({ owner, age, value: value as VmFact }));
   }
 
