A stored verdict that peers refuse is not taken over

A verdict in the store whose part has more than 64 characters, or whose generation is the largest whole number, was taken over. The entry VM then sent it to its peers, which refuse a whole message about the quarantine for one invalid verdict.

Cause: stored verdicts and those of peers were checked by different rules. Both now use verdictSchema, which also bounds the generation, so that the next one is a valid number too. The time of a stored verdict is a whole number.

Test "odd verdicts are ignored, and the others are read" (a process of its own) fails before: five parts are read instead of one; passes after.

--- a/packages/entry/src/review-quarantine.ts
+++ b/packages/entry/src/review-quarantine.ts
@@ -3,11 +3,12 @@
 import {
   describeIssues,
   parseJson,
+  validate,
   type Clock,
   type Logger,
   type Milliseconds,
 } from "@lovagebend/common";
-import { VerdictState, type PromptQuarantine } from "@lovagebend/quarantine";
+import { verdictSchema, type PromptQuarantine, type VerdictState } from "@lovagebend/quarantine";
 import type { RowStore } from "@lovagebend/store";
 import * as z from "zod";
 import type { Peers } from "./peers.js";
@@ -27,9 +28,9 @@
 // A stored verdict; its key is the part. `at` is a time of the wall clock, since all entry VMs
 // may restart in between.
 const storedVerdictSchema = z.object({
-  generation: z.number().int().positive(),
-  state: z.enum(VerdictState),
-  at: z.number(),
+  generation: verdictSchema.shape.generation,
+  state: verdictSchema.shape.state,
+  at: z.number().int().nonnegative(),
 });
 
 /// Reviews the evidence until `signal` aborts.
@@ -82,7 +83,9 @@
   }
   const verdicts = snapshot.value.rows.flatMap(({ key: part, value }) => {
     if (value === undefined) return [];
-    const verdict = parseJson(storedVerdictSchema, value.toString("utf8"));
+    const verdict = validate(verdictSchema.shape.part, part).andThen(() =>
+      parseJson(storedVerdictSchema, value.toString("utf8")),
+    );
     if (verdict.isErr) {
       logger.warn("ignoring invalid verdict", { part, reason: describeIssues(verdict.error) });
       return [];
--- a/packages/quarantine/src/exchange.ts
+++ b/packages/quarantine/src/exchange.ts
@@ -6,6 +6,9 @@
 import { PartStatus, type CrashRecord } from "./crash-records.js";
 import { VerdictState, type Verdict } from "./verdicts.js";
 
+// A generation takes five minutes at least. The next one must still be a valid number.
+const maximumGeneration = 1_000_000;
+
 const recordSchema = z.object({
   crash: z.string().max(200),
   age: z.number().min(0),
@@ -13,9 +16,10 @@
     .array(z.tuple([z.string().max(64), z.enum(PartStatus), z.number().int().min(0)]))
     .max(128),
 });
-const verdictSchema = z.object({
+/// A verdict as it is sent or stored.
+export const verdictSchema = z.object({
   part: z.string().max(64),
-  generation: z.number().int().positive(),
+  generation: z.number().int().positive().max(maximumGeneration),
   state: z.enum(VerdictState),
   age: z.number().min(0),
 });
