--- a/packages/entry/src/peer-message.ts
+++ b/packages/entry/src/peer-message.ts
@@ -3,7 +3,7 @@
 import type { Milliseconds } from "@lovagebend/common";
 import type { GossipEntry } from "@lovagebend/membership";
 import type { QuarantineExchange } from "@lovagebend/quarantine";
-import { isEra, type Era, type StoredRow, type TableTransfer } from "@lovagebend/store";
+import type { Era, StoredRow, TableTransfer } from "@lovagebend/store";
 
 /// A row of a table as JSON. `value` is base64, or `null` if the row was removed.
 export interface WireRow {
@@ -50,8 +50,9 @@
   /// outage of the store. 0 if there was none recently.
   readonly lapseGrace: Milliseconds;
   /// The fields below are missing in messages of senders of older versions.
-  readonly histories?: { readonly document: TableHistory; readonly targets: TableHistory };
-  readonly settings?: SettingsInForce;
+  readonly histories?:
+    { readonly document: TableHistory; readonly targets: TableHistory } | undefined;
+  readonly settings?: SettingsInForce | undefined;
   readonly quarantine?: QuarantineExchange;
 }
 
@@ -62,18 +63,6 @@
   readonly isStopping: boolean;
 }
 
-// Returns `undefined` if the entry is invalid or was written by another version in another
-// format.
-export function parseVmFact(value: Buffer): VmFact | undefined {
-  try {
-    const fact = JSON.parse(value.toString("utf8")) as Partial<VmFact>;
-    const isReadable = typeof fact.address === "string" && typeof fact.dataCentre === "string";
-    return isReadable ? (fact as VmFact) : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /// The tables as they are in a message.
 export function describeTables({
   document,
@@ -87,13 +76,11 @@
 }
 
 /// The tables of a message. A sender of an older version names no eras: its rows count as of
-/// `unnamedEra`. `undefined` if an era cannot be one.
+/// `unnamedEra`.
 export function readTables(
   { versions, histories, rows }: Pick<PeerMessage, "versions" | "histories" | "rows">,
   unnamedEra: Era,
-): Tables | undefined {
-  if (histories !== undefined && !(isEra(histories.document.era) && isEra(histories.targets.era)))
-    return undefined;
+): Tables {
   const read = (name: keyof Tables): TableTransfer => ({
     rows: fromWireRows(rows[name]),
     revision: { era: histories?.[name].era ?? unnamedEra, version: versions[name] },
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -3,7 +3,9 @@
 //! its cost does not grow with the number of entry VMs.
 import {
   exchangeJson,
+  parseJsonText,
   rankByRendezvousHash,
+  validate,
   type Clock,
   type Logger,
   type Milliseconds,
@@ -17,22 +19,21 @@
   type StoreEra,
   type TableTransfer,
 } from "@lovagebend/store";
-import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
+import {
+  createJSONRPCErrorResponse,
+  JSONRPCClient,
+  JSONRPCErrorCode,
+  JSONRPCServer,
+  type JSONRPCResponse,
+} from "json-rpc-2.0";
+import * as z from "zod";
 import { keepOwnRows } from "./own-rows.js";
 import type { ReplicatedState } from "./replicated-state.js";
-import {
-  describeTables,
-  parseVmFact,
-  readTables,
-  type PeerMessage,
-  type VmFact,
-} from "./peer-message.js";
+import { factKeys, readPeerMessage, readVmFact } from "./peer-message-schema.js";
+import { describeTables, readTables, type PeerMessage, type VmFact } from "./peer-message.js";
 import type { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { EntryIdentity } from "./entry-dependencies.js";
 
-const vmFactKey = "vm";
-const suspicionsFactKey = "doubts";
-const limitsFactKey = "limits";
 // Covers the duration of the shortest suspicion plus the time that gossip takes to spread.
 const maximumSuspicionAge: Milliseconds = 1_500;
 const factLifetime: Milliseconds = 15_000;
@@ -52,6 +53,12 @@
 const localExchangeShareWithManyPeers = 0.9;
 const explorationShare = 0.2;
 const exchangeMethod = "exchange";
+const maximumLoggedFaults = 5;
+const callSchema = z.looseObject({
+  jsonrpc: z.literal("2.0"),
+  method: z.string(),
+  id: z.union([z.string(), z.number(), z.null()]).optional(),
+});
 
 // What the receiver of a message has, as far as it is known.
 interface ReceiverState {
@@ -64,7 +71,11 @@
 
 export class Peers {
   private readonly gossip: GossipState;
-  private readonly server = new JSONRPCServer();
+  private readonly server = new JSONRPCServer({
+    errorListener: (message, data) => {
+      this.logger.warn("call of a peer failed", { reason: message, detail: String(data) });
+    },
+  });
   private readonly registeredVms = new Map<string, VmFact>();
   private publishedAt: Milliseconds = -Infinity;
   private triggeredAt: Milliseconds = -Infinity;
@@ -82,12 +93,16 @@
   ) {
     // Versions start at the wall clock, which is later at each restart of the same entry VM.
     this.gossip = new GossipState(identity.name, clock.wallClockTime(), factLifetime);
-    this.server.addMethod(exchangeMethod, (message: PeerMessage) => this.handleExchange(message));
+    this.server.addMethod(exchangeMethod, (message: unknown) =>
+      this.handleExchange(this.readMessage(message, "caller")),
+    );
   }
 
   /// Handles a JSON-RPC call from a peer and returns the JSON-RPC reply.
-  receive(body: string): PromiseLike<JSONRPCResponse | null> {
-    return this.server.receiveJSON(body) as PromiseLike<JSONRPCResponse | null>;
+  async receive(body: string): Promise<JSONRPCResponse | null> {
+    const call = validate(callSchema, parseJsonText(body).unwrapOr(undefined));
+    if (call.isErr) return createJSONRPCErrorResponse(null, JSONRPCErrorCode.InvalidRequest, "");
+    return this.server.receive({ ...call.value, id: call.value.id ?? null });
   }
 
   /// The names of the entry VMs that are live and not stopping, including this one; sorted.
@@ -157,7 +172,7 @@
   /// The targets that some entry VM suspects, according to recent gossip.
   findSuspectedTargets(): string[] {
     return this.gossip
-      .facts(suspicionsFactKey, this.clock.monotonicTime())
+      .facts(factKeys.suspicions, this.clock.monotonicTime())
       .filter(({ age }) => age <= maximumSuspicionAge)
       .flatMap(({ value }) => value as string[]);
   }
@@ -222,8 +237,10 @@
       logger.warn("reading entry VMs from the store failed", { reason: registered.error });
     } else {
       for (const { key, value } of registered.value.rows) {
-        const fact = value === undefined ? undefined : parseVmFact(value);
-        if (fact !== undefined) this.registeredVms.set(key, fact);
+        if (value === undefined) continue;
+        const fact = readVmFact(value);
+        if (fact.isOk) this.registeredVms.set(key, fact.value);
+        else this.logger.warn("ignoring invalid entry VM", { entryVm: key, reason: fact.error });
       }
     }
     const content = JSON.stringify(this.describeSelf());
@@ -273,18 +290,33 @@
         settings: undefined,
       };
       const ownMessage = this.composeMessage(unknown, [this.identity.name]);
-      const reply = (await client.request(exchangeMethod, ownMessage)) as PeerMessage;
+      const reply = this.readMessage(await client.request(exchangeMethod, ownMessage), address);
       const quarantine = this.mergeMessage(reply, address);
       const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
       if (!this.hasNewerStateThan(reply) && !differs) return;
       const ownReply = this.composeMessage({ ...this.readReceiverState(reply), quarantine });
-      this.mergeMessage((await client.request(exchangeMethod, ownReply)) as PeerMessage, address);
+      const secondReply: unknown = await client.request(exchangeMethod, ownReply);
+      this.mergeMessage(this.readMessage(secondReply, address), address);
     } catch (error) {
       if (!signal.aborted)
         this.logger.info("call to peer failed", { peer: address, reason: String(error) });
     }
   }
 
+  // Throws if `value` is no message, which ends the exchange.
+  private readMessage(value: unknown, peer: string): PeerMessage {
+    const read = readPeerMessage(value);
+    if (read.isErr) throw new Error(`invalid message: ${read.error}`);
+    const { message, faults } = read.value;
+    if (faults.length > 0)
+      this.logger.warn("ignoring invalid parts of a peer's message", {
+        peer,
+        count: faults.length,
+        faults: faults.slice(0, maximumLoggedFaults),
+      });
+    return message;
+  }
+
   private handleExchange(message: PeerMessage): PeerMessage {
     const quarantine = this.mergeMessage(message, "caller");
     this.publishOwnFacts();
@@ -299,13 +331,13 @@
     }
     const newFacts = this.gossip.merge(message.facts, this.clock.monotonicTime());
     const suspicions = newFacts.filter(
-      ({ key, age }) => key === suspicionsFactKey && age <= maximumSuspicionAge,
+      ({ key, age }) => key === factKeys.suspicions && age <= maximumSuspicionAge,
     );
     const suspectedTargets = suspicions.flatMap(({ value }) => value as string[]);
     if (this.replicatedState.targetRegistry.recordPeerSuspicions(suspectedTargets))
       this.triggerExchange();
     for (const { key, value, age } of newFacts)
-      if (key === limitsFactKey && this.requestLimiter.mergeLimits(value, age))
+      if (key === factKeys.limits && this.requestLimiter.mergeLimits(value, age))
         this.triggerExchange();
     this.mergeState(message, peer);
     return this.mergeQuarantine(message, peer);
@@ -313,10 +345,6 @@
 
   private mergeState(message: PeerMessage, peer: string): void {
     const tables = readTables(message, this.storeEra.unnamed);
-    if (tables === undefined) {
-      this.logger.warn("ignoring tables of a peer with an invalid era", { peer });
-      return;
-    }
     const document = message.settings?.value ?? undefined;
     const isEmpty = ({ rows, isWhole }: TableTransfer): boolean => rows.length === 0 && !isWhole;
     if (isEmpty(tables.document) && isEmpty(tables.targets) && document === undefined) return;
@@ -398,12 +426,13 @@
   private publishOwnFacts(): void {
     const now = this.clock.monotonicTime();
     const suspectedTargets = this.replicatedState.targetRegistry.getSuspectedTargets();
-    if (suspectedTargets.length > 0) this.gossip.publish(suspicionsFactKey, suspectedTargets, now);
+    if (suspectedTargets.length > 0)
+      this.gossip.publish(factKeys.suspicions, suspectedTargets, now);
     if (now - this.publishedAt < publishInterval) return;
     this.publishedAt = now;
     const limits = this.requestLimiter.describeLimits();
-    if (limits.length > 0) this.gossip.publish(limitsFactKey, limits, now);
-    this.gossip.publish(vmFactKey, this.describeSelf(), now);
+    if (limits.length > 0) this.gossip.publish(factKeys.limits, limits, now);
+    this.gossip.publish(factKeys.vm, this.describeSelf(), now);
   }
 
   private describeSelf(): VmFact {
@@ -413,7 +442,7 @@
 
   private findVmFacts() {
     return this.gossip
-      .facts(vmFactKey, this.clock.monotonicTime())
+      .facts(factKeys.vm, this.clock.monotonicTime())
       .map(({ owner, age, value }) => ({ owner, age, value: value as VmFact }));
   }
 
