A stop that comes late to its end still answers its requests

What callers saw: all requests in progress at an entry VM that stopped ended without an answer when the process was busy, or not scheduled, for some 0.4 s at the end of the grace period.

Cause: after the requests were ended, their answers had until 200 ms before the kill. When that time had passed already, the connections were closed in the same turn, before the answers were written.

Fix: callers get at least 200 ms for their answers. If the kill comes first, nothing is worse than before.

--- a/packages/entry/src/graceful-stop.ts
+++ b/packages/entry/src/graceful-stop.ts
@@ -11,6 +11,8 @@
 const endMargin: Milliseconds = 600;
 // Reserved for the process itself to exit.
 const exitMargin: Milliseconds = 200;
+// Callers get this time for their answers also when the process comes late to the end.
+const minimumFlushTime: Milliseconds = 200;
 
 export class GracefulStop {
   private requestedAt: Milliseconds = Infinity;
@@ -41,7 +43,6 @@
   async run(callerServer: CallerServer): Promise<void> {
     const { clock, logger, limits } = this;
     this.requestedAt = clock.monotonicTime();
-    const exitsAt = this.requestedAt + limits.shutdownTimeout - exitMargin;
     logger.info("stopping", { inProgress: callerServer.inProgress });
     await clock.sleep(Math.min(limits.drainDelay, this.endsRequestsAt - this.requestedAt));
     await callerServer.closeIdleConnections();
@@ -50,6 +51,10 @@
       await callerServer.closeIdleConnections();
     }
     callerServer.endRequests();
+    const exitsAt = Math.max(
+      this.requestedAt + limits.shutdownTimeout - exitMargin,
+      clock.monotonicTime() + minimumFlushTime,
+    );
     while (callerServer.inProgress > 0 && clock.monotonicTime() < exitsAt)
       await clock.sleep(pollInterval);
     logger.info("stopped", {
