A stop accepts the requests that are certain to end before it

What callers saw: where two of three entry VMs of a data centre were stopping, the load balancer went on sending them new connections, and each request on these was refused, for up to five seconds.

Cause: after the drain delay every request was refused, also one whose time limit ends well before the stop does.

Fix: after the drain delay a request is refused if its deadline, the earlier one of the caller and the route, lies behind the time at which requests are ended, and accepted otherwise. This is decided when its body has been read.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -160,7 +160,7 @@
     signal: AbortSignal,
   ): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
-    this.assertAccepting();
+    this.assertAccepting(receivedAt);
     const initialTable = replicatedState.routes;
     if (initialTable === undefined) {
       const kind = ErrorKind.SettingsUnknown;
@@ -171,7 +171,6 @@
       rejectOnEnd(signal),
     ]);
     if (body.isErr) throw body.error;
-    this.assertAccepting();
     // The settings may have changed while the body was being received.
     const table = replicatedState.routes ?? initialTable;
     const path = request.url ?? "/";
@@ -194,6 +193,8 @@
       requestedTimeout > 0 ? requestedTimeout : Infinity,
       route.timeout,
     );
+    const deadline = receivedAt + effectiveTimeout;
+    this.assertAccepting(deadline);
     return {
       id,
       method: request.method ?? "GET",
@@ -204,15 +205,15 @@
       service,
       workspace: workspace?.name,
       priority: workspace?.priority ?? route.priority,
-      deadline: receivedAt + effectiveTimeout,
+      deadline,
       ...parseTokenCounts(request, headerNames.tokenCounts),
       sharedPromptParts: parseSharedPromptParts(request, headerNames.promptParts),
       signal,
     };
   }
 
-  private assertAccepting(): void {
-    if (this.services.gracefulStop.shouldRefuseRequests)
+  private assertAccepting(deadline: Milliseconds): void {
+    if (this.services.gracefulStop.shouldRefuse(deadline))
       throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
   }
 
--- a/packages/entry/src/graceful-stop.ts
+++ b/packages/entry/src/graceful-stop.ts
@@ -1,5 +1,5 @@
 //! The phases of a graceful stop. New requests are accepted at first, since the load balancer
-//! still sends some, and then refused. The requests in progress go on until the last moment at
+//! still sends some, and then only those that are certain to end in time. The requests in progress go on until the last moment at
 //! which an answer of the router's own still reaches the caller before the process is killed.
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { CallerServer } from "./caller-server.js";
@@ -27,10 +27,12 @@
     return this.requestedAt !== Infinity;
   }
 
-  /// Whether requests that have not been offered to a target are refused.
-  get shouldRefuseRequests(): boolean {
-    const refusesFrom = Math.min(this.requestedAt + this.limits.drainDelay, this.endsRequestsAt);
-    return this.clock.monotonicTime() >= refusesFrom;
+  /// Whether a request that is answered by `deadline`, and has not been offered to a target, is
+  /// refused. After the drain delay, all are whose deadline lies behind the end of requests.
+  shouldRefuse(deadline: Milliseconds): boolean {
+    const now = this.clock.monotonicTime();
+    if (now >= this.endsRequestsAt) return true;
+    return now >= this.requestedAt + this.limits.drainDelay && deadline > this.endsRequestsAt;
   }
 
   /// When the requests in progress are ended. Infinite unless the entry VM is stopping.
