--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -196,7 +196,7 @@
 
   private async route(request: http.IncomingMessage, open: OpenRequest): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
-    this.assertAccepting();
+    this.assertAccepting(open.receivedAt);
     const initialTable = replicatedState.routes;
     if (initialTable === undefined) {
       const kind = ErrorKind.SettingsUnknown;
@@ -208,7 +208,6 @@
     ]);
     if (body.isErr) throw body.error;
     open.progress.recordRead();
-    this.assertAccepting();
     // The settings may have changed while the body was being received.
     const table = replicatedState.routes ?? initialTable;
     const path = request.url ?? "/";
@@ -232,6 +231,8 @@
       requestedTimeout > 0 ? requestedTimeout : Infinity,
       route.timeout,
     );
+    const deadline = open.receivedAt + effectiveTimeout;
+    this.assertAccepting(deadline);
     return {
       id,
       method: request.method ?? "GET",
@@ -242,7 +243,7 @@
       service,
       workspace: workspace?.name,
       priority: workspace?.priority ?? route.priority,
-      deadline: open.receivedAt + effectiveTimeout,
+      deadline,
       ...parseTokenCounts(request, headerNames.tokenCounts),
       sharedPromptParts: parseSharedPromptParts(request, headerNames.promptParts),
       signal: open.signal,
@@ -250,8 +251,8 @@
     };
   }
 
-  private assertAccepting(): void {
-    if (this.services.gracefulStop.shouldRefuseRequests)
+  private assertAccepting(deadline: Milliseconds): void {
+    if (this.services.gracefulStop.shouldRefuse(deadline))
       throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
   }
 
--- a/packages/entry/src/graceful-stop.ts
+++ b/packages/entry/src/graceful-stop.ts
@@ -1,5 +1,5 @@
 //! The phases of a graceful stop. New requests are accepted at first, since the load balancer
-//! still sends some, and then refused. The requests in progress go on until the last moment at
+//! still sends some, and then only those that are certain to end in time. The requests in progress go on until the last moment at
 //! which an answer of the router's own still reaches the caller before the process is killed.
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { CallerServer } from "./caller-server.js";
@@ -11,6 +11,8 @@
 const endMargin: Milliseconds = 600;
 // Reserved for the process itself to exit.
 const exitMargin: Milliseconds = 200;
+// Callers get this time for their answers also when the process comes late to the end.
+const minimumFlushTime: Milliseconds = 200;
 
 export class GracefulStop {
   private requestedAt: Milliseconds = Infinity;
@@ -25,10 +27,12 @@
     return this.requestedAt !== Infinity;
   }
 
-  /// Whether requests that have not been offered to a target are refused.
-  get shouldRefuseRequests(): boolean {
-    const refusesFrom = Math.min(this.requestedAt + this.limits.drainDelay, this.endsRequestsAt);
-    return this.clock.monotonicTime() >= refusesFrom;
+  /// Whether a request that is answered by `deadline`, and has not been offered to a target, is
+  /// refused. After the drain delay, all are whose deadline lies behind the end of requests.
+  shouldRefuse(deadline: Milliseconds): boolean {
+    const now = this.clock.monotonicTime();
+    if (now >= this.endsRequestsAt) return true;
+    return now >= this.requestedAt + this.limits.drainDelay && deadline > this.endsRequestsAt;
   }
 
   /// When the requests in progress are ended. Infinite unless the entry VM is stopping.
@@ -41,7 +45,6 @@
   async run(callerServer: CallerServer): Promise<void> {
     const { clock, logger, limits } = this;
     this.requestedAt = clock.monotonicTime();
-    const exitsAt = this.requestedAt + limits.shutdownTimeout - exitMargin;
     logger.info("stopping", { inProgress: callerServer.inProgress });
     await clock.sleep(Math.min(limits.drainDelay, this.endsRequestsAt - this.requestedAt));
     await callerServer.closeIdleConnections();
@@ -50,6 +53,10 @@
       await callerServer.closeIdleConnections();
     }
     callerServer.endRequests();
+    const exitsAt = Math.max(
+      this.requestedAt + limits.shutdownTimeout - exitMargin,
+      clock.monotonicTime() + minimumFlushTime,
+    );
     while (callerServer.inProgress > 0 && clock.monotonicTime() < exitsAt)
       await clock.sleep(pollInterval);
     logger.info("stopped", {
