Do not say "not run" of a request that a target has run

What callers saw: a request that may be repeated, whose first target ran it or may have, and whose second refused it, got 503 "not run" of our own; an error that the first target had answered was withheld.

Cause: the answer was derived from the last outcome alone.

Now the last outcome of a dispatch that may have run decides: the target's own error is forwarded, and an unknown outcome gives 502 or 504. Requests that may not be repeated are sent on only after a proof that they did not run, so that they are not concerned.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -49,6 +49,8 @@
   const triedTargets = new Set<string>();
   let executions = 0;
   let lastOutcome: DispatchOutcome | undefined;
+  // The latest outcome of a dispatch that a target may have run.
+  let lastRun: Exclude<DispatchOutcome, { kind: "notRun" }> | undefined;
   let limitRetryAfter: Milliseconds | undefined;
   for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
     if (request.signal.aborted) throw createEndError(request.signal, executions > 0);
@@ -84,6 +86,7 @@
       outcome: outcome.kind,
       ...(outcome.kind === "whole" ? { status: outcome.status } : { reason: outcome.reason }),
     });
+    if (outcome.kind !== "notRun") lastRun = outcome;
     if (outcome.kind === "whole") {
       executions += 1;
       const isServerError = outcome.status >= minimumServerErrorStatus;
@@ -95,11 +98,7 @@
         isTimeLeft(request, services)
       )
         continue;
-      const framing: Framing = outcome.isDelimited
-        ? { kind: "length", bytes: outcome.body.length }
-        : { kind: "untilClose" };
-      answer.begin(outcome.status, responseHeaders(outcome.rawHeaders), framing);
-      answer.end(outcome.body);
+      deliver(outcome, answer);
       return;
     }
     if (outcome.kind === "notRun") {
@@ -119,7 +118,22 @@
       limitRetryAfter / 1_000,
     );
   if (request.signal.aborted) throw createEndError(request.signal, executions > 0);
-  throw createError(request, lastOutcome, services);
+  if (lastRun?.kind === "whole") {
+    deliver(lastRun, answer);
+    return;
+  }
+  throw createError(request, lastRun ?? lastOutcome, services);
+}
+
+function deliver(
+  { status, rawHeaders, body, isDelimited }: Extract<DispatchOutcome, { kind: "whole" }>,
+  answer: CallerAnswer,
+): void {
+  const framing: Framing = isDelimited
+    ? { kind: "length", bytes: body.length }
+    : { kind: "untilClose" };
+  answer.begin(status, responseHeaders(rawHeaders), framing);
+  answer.end(body);
 }
 
 // A replica that no request may be sent to is not a candidate for this dispatch.
