--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -6,6 +6,7 @@
 import { responseHeaders, requestHeaders, readBody, sendToTarget } from "@lovagebend/forwarding";
 import { RetryPurpose } from "@lovagebend/limits";
 import { chooseReplica } from "./choose-replica.js";
+import { createEndError, isEndedByStop } from "./request-end.js";
 import type { LimitOutcome } from "./request-limiter.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest, Framing } from "./routed-request.js";
 import type { Target, TargetRegistry } from "./target-registry.js";
@@ -48,9 +49,12 @@
   const triedTargets = new Set<string>();
   let executions = 0;
   let lastOutcome: DispatchOutcome | undefined;
+  // The latest outcome of a dispatch that a target may have run.
+  let lastRun: Exclude<DispatchOutcome, { kind: "notRun" }> | undefined;
   let limitRetryAfter: Milliseconds | undefined;
   for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
-    if (request.signal.aborted) throw new RouterError(ErrorKind.CallerGone, RunState.Unknown);
+    if (request.signal.aborted) throw createEndError(request.signal, executions > 0);
+    request.progress.recordWait();
     const choice = await chooseWithinLimits(request, triedTargets, dispatches === 0, services);
     if (choice.kind === "none") {
       limitRetryAfter = choice.limitRetryAfter;
@@ -70,8 +74,10 @@
       break;
     }
     triedTargets.add(target.name);
+    request.progress.recordOffer(target.name);
     const outcome = await dispatch(request, target, services);
     lastOutcome = outcome;
+    if (outcome.kind !== "whole") request.progress.recordFailure(outcome.reason);
     logger.info("offered", {
       request: request.id,
       target: target.name,
@@ -80,6 +86,7 @@
       outcome: outcome.kind,
       ...(outcome.kind === "whole" ? { status: outcome.status } : { reason: outcome.reason }),
     });
+    if (outcome.kind !== "notRun") lastRun = outcome;
     if (outcome.kind === "whole") {
       executions += 1;
       const isServerError = outcome.status >= minimumServerErrorStatus;
@@ -91,18 +98,14 @@
         isTimeLeft(request, services)
       )
         continue;
-      const framing: Framing = outcome.isDelimited
-        ? { kind: "length", bytes: outcome.body.length }
-        : { kind: "untilClose" };
-      answer.begin(outcome.status, responseHeaders(outcome.rawHeaders), framing);
-      answer.end(outcome.body);
+      deliver(outcome, answer);
       return;
     }
     if (outcome.kind === "notRun") {
       targetRegistry.recordRefusal(target.name);
       continue;
     }
-    targetRegistry.suspect(target.name, outcome.reason);
+    if (!isEndedByStop(request.signal)) targetRegistry.suspect(target.name, outcome.reason);
     executions += 1;
     if (!canRetry || executions >= route.maximumAttempts) break;
     if (!isTimeLeft(request, services)) break;
@@ -114,7 +117,23 @@
       `Service ${service.name}.`,
       limitRetryAfter / 1_000,
     );
-  throw createError(request, lastOutcome, services);
+  if (request.signal.aborted) throw createEndError(request.signal, executions > 0);
+  if (lastRun?.kind === "whole") {
+    deliver(lastRun, answer);
+    return;
+  }
+  throw createError(request, lastRun ?? lastOutcome, services);
+}
+
+function deliver(
+  { status, rawHeaders, body, isDelimited }: Extract<DispatchOutcome, { kind: "whole" }>,
+  answer: CallerAnswer,
+): void {
+  const framing: Framing = isDelimited
+    ? { kind: "length", bytes: body.length }
+    : { kind: "untilClose" };
+  answer.begin(status, responseHeaders(rawHeaders), framing);
+  answer.end(body);
 }
 
 // A replica that no request may be sent to is not a candidate for this dispatch.
@@ -155,7 +174,6 @@
   lastOutcome: DispatchOutcome | undefined,
   services: AttemptServices,
 ): RouterError {
-  if (request.signal.aborted) return new RouterError(ErrorKind.CallerGone, RunState.Unknown);
   if (lastOutcome === undefined || lastOutcome.kind === "notRun") {
     const reason = lastOutcome?.reason ?? "the service has no listed target";
     return new RouterError(
--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -2,10 +2,12 @@
 //! failure. Also keeps this entry VM's registry of targets with their health and load.
 export { TargetRegistry, type Target } from "./target-registry.js";
 export { answerBuffered } from "./buffered-answer.js";
+export { createEndError, isEndedByStop, RequestEnd, stoppingRetrySeconds } from "./request-end.js";
 export { answerStreaming } from "./streaming-answer.js";
 export { estimateLayerHolder } from "./engine-cost.js";
 export { findUnresponsiveTargets, type WatchedStream } from "./unresponsive-targets.js";
 export { CrashReporter } from "./crash-reporter.js";
+export { RequestProgress, type RequestStage } from "./request-progress.js";
 export type { LimitOutcome, RequestLimiter, TargetProcess } from "./request-limiter.js";
 export { StreamWatch, Urgency, type ReroutableStream } from "./stream-watch.js";
 export type {
@@ -15,5 +17,6 @@
   EngineCalls,
   Framing,
   PathChange,
+  ProcessState,
   RoutedRequest,
 } from "./routed-request.js";
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -13,13 +13,14 @@
 import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { Result } from "true-myth";
 import type { CrashReporter } from "./crash-reporter.js";
+import type { RequestProgress } from "./request-progress.js";
 import type { RequestLimiter } from "./request-limiter.js";
 import type { StreamWatch } from "./stream-watch.js";
 import type { TargetRegistry } from "./target-registry.js";
 
 /// A caller's request with its route and service. `deadline` is a time of the monotonic
-/// clock, the earlier of the caller's and the route's deadlines. `signal` aborts when the
-/// caller disconnects. `tokens` counts the prompt and the maximum answer, `promptTokens` only
+/// clock, the earlier of the caller's and the route's deadlines. `signal` aborts with a
+/// `RequestEnd`. `tokens` counts the prompt and the maximum answer, `promptTokens` only
 /// the prompt. `sharedPromptParts` are the identifiers of the parts of the prompt that other
 /// requests may have in common with it, in the order of the prompt; its last part is its own.
 export interface RoutedRequest extends ForwardedRequest {
@@ -32,6 +33,7 @@
   readonly promptTokens: number;
   readonly sharedPromptParts: readonly string[];
   readonly signal: AbortSignal;
+  readonly progress: RequestProgress;
 }
 
 /// How the end of an answer is marked for the caller. `untilClose` is for an answer whose
@@ -44,7 +46,7 @@
 /// The answer's connection to the caller. `begin` is called once, before any bytes; `send`
 /// forwards bytes as they arrive and returns whether the caller keeps up with reading them. If
 /// not, `onceRead` calls back when it has read all. `end` closes a complete answer, `abort` an
-/// incomplete one.
+/// incomplete one, for a `reason` that is logged.
 export interface CallerAnswer {
   readonly hasBegun: boolean;
   begin(
@@ -55,7 +57,7 @@
   send(bytes: Buffer): boolean;
   onceRead(callback: () => void): void;
   end(bytes?: Buffer): void;
-  abort(): void;
+  abort(reason: string): void;
 }
 
 /// The result of moving a running answer to another path. A refusal contains the target that
@@ -65,11 +67,17 @@
   | { readonly kind: "refused"; readonly status: number; readonly target: string | undefined }
   | { readonly kind: "unknown"; readonly reason: string };
 
+/// The process that answers at a target's address. `born` is the wall-clock time in milliseconds
+/// at which it started. `none`: nothing listens there. `unknown`: no usable answer; the process
+/// may be silent, overloaded or unreachable.
+export type ProcessState =
+  | { readonly kind: "running"; readonly born: number }
+  | { readonly kind: "none" }
+  | { readonly kind: "unknown" };
+
 /// Calls to engines about running answers. No method throws.
 export interface EngineCalls {
-  /// Returns the wall-clock time in milliseconds at which the target's process started, or an
-  /// error if no process answers.
-  readProcessStart(target: EngineAddress): Promise<Result<number, string>>;
+  readProcessState(target: EngineAddress): Promise<ProcessState>;
   /// Returns, by request, the address (`host:port`) of the target that stalls the answer, for
   /// the answers whose first part runs on `target`.
   getStalledAnswers(target: EngineAddress): Promise<Result<ReadonlyMap<string, string>, string>>;
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -3,7 +3,13 @@
 //! rerouted to another path; if its first engine fails, the answer is resumed on another one
 //! after the last complete event.
 import { isRetryable } from "@lovagebend/catalog";
-import { ErrorKind, RouterError, RunState, type Milliseconds } from "@lovagebend/common";
+import {
+  ErrorKind,
+  RouterError,
+  runDetached,
+  RunState,
+  type Milliseconds,
+} from "@lovagebend/common";
 import {
   responseHeaders,
   EventSplitter,
@@ -17,6 +23,7 @@
 import type { PathPart } from "@lovagebend/routing";
 import type http from "node:http";
 import { AnswerStart } from "./answer-start.js";
+import { createEndError, isEndedByStop, RequestEnd } from "./request-end.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
 import { StreamPaths } from "./stream-paths.js";
 import type { Target } from "./target-registry.js";
@@ -44,6 +51,8 @@
 // Callers abandon a stream after two seconds without an event.
 const resumeTimeout: Milliseconds = 1_500;
 const resumeInterval: Milliseconds = 100;
+// A sound engine may be silent for a second or so.
+const silenceTimeout: Milliseconds = 1_500;
 const noPathRetryAfterSeconds = 0.5;
 const refusedRetryAfterSeconds = 0.3;
 
@@ -71,6 +80,10 @@
   private executions = 0;
   /// Whether an engine may have run the request, even if no answer arrived.
   private mayHaveRun = false;
+  /// The number of dispatches so far, without the current one.
+  private dispatches = 0;
+  /// Whether the retry budget has been charged for the dispatch that replaces the current one.
+  private isReplacementPaid = false;
   private hasResponseHead = false;
   /// Whether an engine has written the answer for longer than its start.
   private hasLived = false;
@@ -92,9 +105,10 @@
     const { budget, clock } = services;
     budget.recordRequest(request.service.name, clock.monotonicTime());
     let reason = "";
-    for (let dispatches = 0; dispatches < maximumDispatches; dispatches += 1) {
-      this.assertCallerConnected();
+    for (; this.dispatches < maximumDispatches; this.dispatches += 1) {
+      if (this.isEnded()) return;
       if (this.isQuarantined()) return;
+      request.progress.recordWait();
       const path = await this.findPath();
       const { limitRetryAfter } = this.paths;
       if (path === undefined && limitRetryAfter !== undefined) {
@@ -108,13 +122,17 @@
         );
         return;
       }
-      if (dispatches >= maximumDispatchesBeforeBegin && !this.answer.hasBegun) break;
-      if (dispatches > 0 && !this.spendRetry()) {
+      if (this.dispatches >= this.maximumDispatches) break;
+      if (this.dispatches > 0 && !this.isReplacementPaid && !this.spendRetry()) {
         this.giveUp(ErrorKind.TargetUnreachable, "the retry budget is exhausted");
         return;
       }
+      // The signal may have aborted while the path was being found.
+      if (this.isEnded()) return;
       this.path = path;
+      this.isReplacementPaid = false;
       const outcome = await this.dispatch();
+      if ("reason" in outcome) request.progress.recordFailure(outcome.reason);
       this.logDispatch(path, outcome);
       switch (outcome.kind) {
         case "ended":
@@ -132,7 +150,7 @@
           if (outcome.hasRun) this.executions += 1;
           reason = outcome.reason;
           // The report decides on the next dispatch only while the prompt may be at fault.
-          if (this.hasLived) void this.reportBrokenStart();
+          if (this.hasLived) runDetached(services.logger, "crash report", this.reportBrokenStart());
           else await this.reportBrokenStart();
           this.excludeFirst(path, reason);
           if (clock.monotonicTime() >= request.deadline) {
@@ -148,6 +166,10 @@
     this.giveUp(ErrorKind.TargetUnreachable, reason);
   }
 
+  private get maximumDispatches(): number {
+    return this.answer.hasBegun ? maximumDispatches : maximumDispatchesBeforeBegin;
+  }
+
   private isRetryAllowed(): boolean {
     const { route } = this.request;
     return isRetryable(route) && this.executions < route.maximumAttempts;
@@ -236,15 +258,26 @@
     this.services.targetRegistry.suspect(first, reason);
   }
 
-  private assertCallerConnected(): void {
-    if (this.request.signal.aborted) throw new RouterError(ErrorKind.CallerGone, RunState.Unknown);
+  // Whether the request has ended. Breaks an answer off that has begun; throws if none has begun
+  // or if the caller has left.
+  private isEnded(): boolean {
+    const { signal } = this.request;
+    if (!signal.aborted) return false;
+    if (!this.answer.hasBegun || !isEndedByStop(signal))
+      throw createEndError(signal, this.mayHaveRun);
+    this.breakOff(ErrorKind.StoppedUnanswered, RequestEnd.VmStopping);
+    return true;
+  }
+
+  private breakOff(kind: ErrorKind, reason: string): void {
+    this.services.logger.warn("stream broken off", { request: this.request.id, kind, reason });
+    this.answer.abort(`${kind}: ${reason}`);
   }
 
   private giveUp(kind: ErrorKind, reason: string, retryAfterSeconds?: number): void {
-    this.assertCallerConnected();
+    if (this.isEnded()) return;
     if (this.answer.hasBegun) {
-      this.services.logger.warn("stream broken off", { request: this.request.id, kind, reason });
-      this.answer.abort();
+      this.breakOff(kind, reason);
       return;
     }
     if (!this.mayHaveRun) {
@@ -262,7 +295,7 @@
 
   private forwardFailure(status: number, rawHeaders: readonly string[], body: Buffer): void {
     if (this.answer.hasBegun) {
-      this.answer.abort();
+      this.answer.abort(`the resumed answer failed with status ${status}`);
       return;
     }
     this.answer.begin(status, responseHeaders(rawHeaders), { kind: "length", bytes: body.length });
@@ -279,6 +312,7 @@
     this.dispatchAbort = new AbortController();
     this.hasResponseHead = false;
     this.dispatchTarget = first;
+    request.progress.recordOffer(first.name);
     this.start = this.createStart();
     this.dispatchedAt = clock.monotonicTime();
     this.firstEventAfter = undefined;
@@ -419,7 +453,8 @@
         }
         hasEnd = true;
         if (isDelimited) this.start.recordCompletion();
-        void this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
+        watched.suspend();
+        const ending = this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
           if (isEndOfTarget) {
             resolveBroken("the target ended, and with it the stream without a length");
             return;
@@ -429,6 +464,7 @@
           this.answer.end();
           resolve({ kind: "ended" });
         });
+        runDetached(this.services.logger, "end of a stream", ending);
       });
     });
   }
@@ -437,7 +473,7 @@
   // stream or has ended itself.
   private async isEndOfTarget(isDelimited: boolean): Promise<boolean> {
     if (isDelimited || this.dispatchTarget === undefined) return false;
-    return this.services.crashReporter.hasEnded(this.dispatchTarget);
+    return this.services.crashReporter.hasEnded(this.dispatchTarget, silenceTimeout);
   }
 
   /// Moves the answer off the `excluded` targets: to another path behind the same first engine
@@ -484,27 +520,31 @@
     if (urgency === Urgency.Now) this.redispatch(urgency, excluded);
   }
 
-  // Aborts the current dispatch if the request may be dispatched again. Otherwise only the
-  // engines' own timeout for stalled parts can recover the answer.
+  // Aborts the current dispatch if the request can be dispatched again now. Otherwise the dispatch
+  // goes on, because a silent engine may continue after a second or so.
   private redispatch(urgency: Urgency, excluded: readonly string[]): void {
-    const { route, service } = this.request;
-    const { budget, clock, entryVmCount } = this.services;
+    const { route } = this.request;
+    if (this.dispatchAbort === undefined || this.dispatchAbort.signal.aborted) return;
     const executions = this.executions + (this.hasResponseHead ? 1 : 0);
     if (!isRetryable(route) || executions >= route.maximumAttempts) return;
-    if (
-      !budget.canSpend(service.name, entryVmCount(), clock.monotonicTime(), this.getRetryPurpose())
-    )
-      return;
+    if (this.dispatches + 1 >= this.maximumDispatches) return;
+    if (!this.canReplace(urgency, excluded) || !this.spendRetry()) return;
+    this.isReplacementPaid = true;
+    this.dispatchAbort.abort();
+  }
+
+  // Whether `findPath` would find a path at once, or soon for an answer that has begun.
+  private canReplace(urgency: Urgency, excluded: readonly string[]): boolean {
     switch (urgency) {
       case Urgency.WhileItRuns:
-        return;
+        return false;
       case Urgency.Soon:
-        if (!this.paths.hasPathWithoutRefusing(excluded)) return;
-        break;
+        return this.paths.hasPathWithoutRefusing(excluded);
       case Urgency.Now:
-        break;
+        return this.answer.hasBegun
+          ? this.paths.hasPathWithoutRefusing(excluded)
+          : this.paths.hasPath([...this.excludedTargets, ...excluded]);
     }
-    this.dispatchAbort?.abort();
   }
 }
 
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -7,5 +7,15 @@
   type Workspace,
   type CallerLimits,
 } from "./route-table.js";
-export { type LayeredModel, type CardKind, type ServiceProfile } from "./service-profile.js";
-export { ListedState, type LayerRange, type ListedTarget } from "./listed-target.js";
+export {
+  isWithinModel,
+  type LayeredModel,
+  type CardKind,
+  type ServiceProfile,
+} from "./service-profile.js";
+export {
+  ListedState,
+  maximumLayerCount,
+  type LayerRange,
+  type ListedTarget,
+} from "./listed-target.js";
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -3,6 +3,7 @@
 import http from "node:http";
 import { Result } from "true-myth";
 import type { Milliseconds } from "./clock.js";
+import { parseJsonText, writeJsonText } from "./json-text.js";
 
 /// The endpoint of a request. Passing host and port avoids the cost of parsing a URL.
 export interface Endpoint {
@@ -34,10 +35,12 @@
 
 /// `notSent`: no connection was established, so the server cannot have received the
 /// request. `unknown`: bytes may have been written, so the request may have taken effect.
-/// `malformed`: the response is too large or not JSON. `reason` is for people.
+/// `malformed`: the response is too large or not JSON. `reason` is for people. `isRefused` is set if
+/// nothing listens on the address.
 export interface ExchangeFailure {
   readonly kind: "notSent" | "unknown" | "malformed";
   readonly reason: string;
+  readonly isRefused: boolean;
 }
 
 /// A request with a JSON body, and the response with its parsed body.
@@ -53,8 +56,8 @@
   timeout: idleSocketTimeout,
 });
 
-/// Sends `request` and reads the whole response. Network failures, timeouts and aborts
-/// are returned, not thrown.
+/// Sends `request` and reads the whole response. Never throws: network failures, timeouts,
+/// aborts and addresses that are not valid are returned.
 export function exchange(
   request: ExchangeRequest,
 ): Promise<Result<ExchangeResponse, ExchangeFailure>> {
@@ -67,15 +70,22 @@
       ...(request.signal === undefined ? {} : { signal: request.signal }),
       headers: { ...request.headers, ...createLengthHeader(request.body) },
     };
-    const outgoing =
-      typeof url === "string" ? http.request(url, options) : http.request({ ...options, ...url });
-    const fail = (kind: ExchangeFailure["kind"], reason: string): void => {
+    let outgoing: http.ClientRequest;
+    try {
+      outgoing =
+        typeof url === "string" ? http.request(url, options) : http.request({ ...options, ...url });
+    } catch (error) {
+      // An address or a header that Node does not accept.
+      resolve(Result.err({ kind: "notSent", reason: String(error), isRefused: false }));
+      return;
+    }
+    const fail = (kind: ExchangeFailure["kind"], reason: string, isRefused = false): void => {
       clearTimeout(timer);
-      resolve(Result.err({ kind, reason }));
+      resolve(Result.err({ kind, reason, isRefused }));
       outgoing.destroy();
     };
-    const failWithoutResponse = (reason: string): void => {
-      fail(isConnected ? "unknown" : "notSent", reason);
+    const failWithoutResponse = (reason: string, isRefused = false): void => {
+      fail(isConnected ? "unknown" : "notSent", reason, isRefused);
     };
     const timer = setTimeout(() => {
       failWithoutResponse(`no response within ${request.timeout} ms`);
@@ -89,8 +99,8 @@
         isConnected = true;
       });
     });
-    outgoing.on("error", (error) => {
-      failWithoutResponse(error.message);
+    outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      failWithoutResponse(error.message, error.code === "ECONNREFUSED");
     });
     outgoing.on("response", (incoming) => {
       const chunks: Buffer[] = [];
@@ -118,16 +128,32 @@
 export async function exchangeJson(
   request: JsonRequest,
 ): Promise<Result<JsonResponse, ExchangeFailure>> {
-  const result = await exchange({
-    ...request,
-    body: request.body === undefined ? undefined : JSON.stringify(request.body),
-    headers: { "content-type": "application/json", ...request.headers },
-  });
-  return result.andThen((response) => {
-    const body = parseJsonBody(response.body.toString("utf8"));
-    if (body.isErr) return Result.err<JsonResponse, ExchangeFailure>(body.error);
-    return Result.ok<JsonResponse, ExchangeFailure>({ ...response, body: body.value });
-  });
+  const encoded = encodeJsonRequest(request);
+  if (encoded.isErr) return Result.err(encoded.error);
+  return (await exchange(encoded.value)).andThen(parseJsonResponse);
+}
+
+/// The request that `exchangeJson` sends. Returns a failure if the body has no JSON form.
+export function encodeJsonRequest(request: JsonRequest): Result<ExchangeRequest, ExchangeFailure> {
+  const body = request.body === undefined ? Result.ok(undefined) : writeJsonText(request.body);
+  return body
+    .map((text) => ({
+      ...request,
+      body: text,
+      headers: { "content-type": "application/json", ...request.headers },
+    }))
+    .mapErr((reason) => ({
+      kind: "notSent",
+      reason: `request body has no JSON form: ${reason}`,
+      isRefused: false,
+    }));
+}
+
+/// Parses the body of a response as `exchangeJson` does.
+export function parseJsonResponse(
+  response: ExchangeResponse,
+): Result<JsonResponse, ExchangeFailure> {
+  return parseJsonBody(response.body.toString("utf8")).map((body) => ({ ...response, body }));
 }
 
 /// As `exchangeJson`, for idempotent requests: when the outcome is unknown, retries once
@@ -146,9 +172,9 @@
 
 function parseJsonBody(text: string): Result<unknown, ExchangeFailure> {
   if (text === "") return Result.ok(null);
-  try {
-    return Result.ok(JSON.parse(text) as unknown);
-  } catch {
-    return Result.err({ kind: "malformed", reason: "response body is not JSON" });
-  }
+  return parseJsonText(text).mapErr((reason) => ({
+    kind: "malformed",
+    reason: `response body is not JSON: ${reason}`,
+    isRefused: false,
+  }));
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,9 +5,16 @@
 export { systemClock } from "./clock.js";
 export type { Clock, Milliseconds } from "./clock.js";
 export { LifecycleManager } from "./lifecycle-manager.js";
+export { parseJsonText, writeJsonText } from "./json-text.js";
 export { parseJson, validate, describeIssues } from "./validation.js";
 export type { ValidationIssue } from "./validation.js";
-export { exchange, exchangeJson, exchangeJsonWithRetry } from "./http-exchange.js";
+export {
+  encodeJsonRequest,
+  exchange,
+  exchangeJson,
+  exchangeJsonWithRetry,
+  parseJsonResponse,
+} from "./http-exchange.js";
 export type {
   ExchangeFailure,
   ExchangeRequest,
@@ -15,6 +22,8 @@
   JsonRequest,
   JsonResponse,
 } from "./http-exchange.js";
+export { guardCallback, runDetached } from "./detached.js";
+export { parseIpAddress } from "./ip-address.js";
 export { alignColumns } from "./columns.js";
 export { createLogger } from "./logger.js";
 export type { Logger, LogSink } from "./logger.js";
--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -20,6 +20,7 @@
     private readonly response: http.ServerResponse,
     private readonly readClock: () => number,
     private readonly shouldCloseConnection: () => boolean,
+    private readonly onAbort: (reason: string) => void,
   ) {}
 
   get hasBegun(): boolean {
@@ -63,19 +64,28 @@
     this.response.end(bytes);
   }
 
-  abort(): void {
+  abort(reason: string): void {
     this.isAborted = true;
+    this.onAbort(reason);
     const { socket } = this.response;
-    if (!this.endsWithConnection || socket === null || socket.writableLength > maximumUnreadBytes) {
+    if (!this.endsWithConnection || socket === null) {
       this.response.destroy();
       return;
     }
-    // The plain end of the connection would mark the answer as complete. The callback runs when
-    // the bytes before the reset have been sent.
+    // The plain end of the connection would mark the answer as complete.
     const reset = (): void => {
       socket.resetAndDestroy();
     };
-    socket.setTimeout(abortTimeout, reset);
+    if (socket.writableLength > maximumUnreadBytes) {
+      reset();
+      return;
+    }
+    // The callback runs when the bytes before the reset have been sent. The timeout of the socket
+    // itself would end the connection plainly.
+    const timer = setTimeout(reset, abortTimeout);
+    socket.once("close", () => {
+      clearTimeout(timer);
+    });
     socket.write("", reset);
   }
 }
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -4,6 +4,10 @@
 import {
   answerBuffered,
   answerStreaming,
+  createEndError,
+  isEndedByStop,
+  RequestEnd,
+  stoppingRetrySeconds,
   type AttemptServices,
   type RoutedRequest,
 } from "@lovagebend/attempts";
@@ -17,17 +21,19 @@
   type Milliseconds,
 } from "@lovagebend/common";
 import http from "node:http";
+import type { Socket } from "node:net";
 import { HttpCallerAnswer } from "./caller-answer.js";
 import { hasCallerLeft } from "./caller-presence.js";
+import type { GracefulStop } from "./graceful-stop.js";
+import { KeptConnections } from "./kept-connections.js";
 import type { EntryMetrics } from "./metrics.js";
+import { OpenRequest, OpenRequests, type ConnectionEnd } from "./open-requests.js";
 import type { ReplicatedState } from "./replicated-state.js";
 
 export interface CallerServerServices extends AttemptServices {
   readonly replicatedState: ReplicatedState;
   readonly metrics: EntryMetrics;
-  readonly isStopping: () => boolean;
-  /// Whether new requests are refused, because they could not be answered before shutdown.
-  readonly shouldRefuseRequests: () => boolean;
+  readonly gracefulStop: GracefulStop;
 }
 
 // The limit on the size of headers. It is fixed when the server is created, so the operator's
@@ -36,9 +42,9 @@
 // The time for a whole request to arrive. Equals the longest time that callers wait for an
 // answer.
 const requestReadTimeout: Milliseconds = 20_000;
+// For a request that is on its way when the announced time ends.
+const idleTimeoutMargin: Milliseconds = 1_000;
 const unknownSettingsRetrySeconds = 0.5;
-// Short, because the caller's next connection reaches another entry VM.
-const stoppingRetrySeconds = 0.05;
 const maximumIdentifierLength = 200;
 const maximumPartIdentifierLength = 64;
 const maximumSharedParts = 32;
@@ -46,7 +52,11 @@
 /// Serves callers and counts the requests in progress, for which a graceful shutdown waits.
 export class CallerServer {
   readonly server: http.Server;
-  private readonly openResponses = new Set<http.ServerResponse>();
+  private readonly openRequests = new OpenRequests((request, end) => {
+    this.recordUnanswered(request, end);
+  });
+  private readonly keptConnections = new KeptConnections();
+  private endedByStop = 0;
 
   constructor(private readonly services: CallerServerServices) {
     this.server = http.createServer(
@@ -55,13 +65,34 @@
         void this.handleRequest(request, response);
       },
     );
+    this.server.on("connection", (socket) => {
+      this.keptConnections.add(socket);
+    });
   }
 
   get inProgress(): number {
-    return this.openResponses.size;
+    return this.openRequests.size;
+  }
+
+  /// The number of requests that a stop has ended before they were answered.
+  get endedRequests(): number {
+    return this.endedByStop;
+  }
+
+  /// Closes the connections that callers keep open without a request.
+  closeIdleConnections(): Promise<void> {
+    return this.keptConnections.closeIdle();
   }
 
-  /// Applies the operator's time limits to connections from now on.
+  /// Ends the requests in progress: each gets an error as its answer, or, if its answer has begun,
+  /// an incomplete one. Complete answers that are being sent are not affected.
+  endRequests(): void {
+    for (const open of this.openRequests.list())
+      if (!open.response.writableEnded) open.end(RequestEnd.VmStopping);
+  }
+
+  /// Applies the operator's time limits. A connection that may stay idle for longer, because an
+  /// answer on it said so, keeps that time until its next request.
   applyLimits(table: RouteTable): void {
     this.server.keepAliveTimeout = table.limits.idleTimeout;
     this.server.headersTimeout = table.limits.headerTimeout;
@@ -71,19 +102,29 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const { clock, isStopping, logger, metrics } = this.services;
+    const { clock, gracefulStop, logger, metrics } = this.services;
     const receivedAt = clock.monotonicTime();
-    const callerDisconnect = new AbortController();
-    this.openResponses.add(response);
+    const id = request.headers[this.services.headerNames.requestId]?.toString();
+    const open = new OpenRequest(id, response, receivedAt);
+    this.openRequests.add(open, request.socket);
+    this.keptConnections.beginRequest(request.socket);
+    this.keepIdleTimeout(open, request.socket);
     response.on("error", () => undefined);
     response.on("close", () => {
-      this.openResponses.delete(response);
-      if (!response.writableFinished) callerDisconnect.abort();
+      this.keptConnections.endRequest(request.socket);
     });
-    const answer = new HttpCallerAnswer(response, () => clock.monotonicTime(), isStopping);
+    const answer = new HttpCallerAnswer(
+      response,
+      () => clock.monotonicTime(),
+      () => gracefulStop.isStopping,
+      (reason) => {
+        open.endReason = reason;
+      },
+    );
     let routed: RoutedRequest | undefined;
+    let refusal: RouterError | undefined;
     try {
-      routed = await this.route(request, receivedAt, callerDisconnect.signal);
+      routed = await this.route(request, open);
       if (await hasCallerLeft(request))
         throw new RouterError(ErrorKind.CallerGone, RunState.NotRun);
       await this.answer(routed, answer);
@@ -91,7 +132,8 @@
       const routerError = error instanceof RouterError ? error : toInternalError(error);
       if (routerError.kind === ErrorKind.Internal)
         logger.error("request failed", { detail: String(error) });
-      this.refuse(request, response, routerError, routed?.route);
+      refusal = routerError;
+      this.refuse(request, open, routerError);
     }
     if (answer.firstByteAt !== undefined && routed !== undefined)
       metrics.recordAnswer(
@@ -100,28 +142,78 @@
         (answer.firstByteAt - receivedAt) / 1_000,
       );
     if (answer.isAborted) metrics.recordAbortedStream();
+    if (isEndedByStop(open.signal) && (refusal !== undefined || answer.isAborted))
+      this.recordEndByStop(request, routed, refusal);
   }
 
-  private async route(
+  // Without a refusal, the answer had begun.
+  private recordEndByStop(
     request: http.IncomingMessage,
-    receivedAt: Milliseconds,
-    signal: AbortSignal,
-  ): Promise<RoutedRequest> {
+    routed: RoutedRequest | undefined,
+    refusal: RouterError | undefined,
+  ): void {
+    const { logger, headerNames } = this.services;
+    this.endedByStop += 1;
+    logger.warn("request ended by stop", {
+      request: request.headers[headerNames.requestId],
+      route: routed?.route.name,
+      kind: routed?.route.kind,
+      progress: findProgress(routed, refusal),
+      status: refusal === undefined ? "incomplete" : getErrorResponse(refusal.kind).status,
+    });
+  }
+
+  // Node tells the caller the timeout at the time of the request, and applies the one at the end of
+  // the answer. Its listener for that event runs before this one.
+  private keepIdleTimeout({ response }: OpenRequest, socket: Socket): void {
+    const announcedTimeout = this.server.keepAliveTimeout;
+    response.once("finish", () => {
+      if (socket.writableEnded || this.openRequests.has(socket)) return;
+      const timeout = Math.max(announcedTimeout, this.server.keepAliveTimeout);
+      socket.setTimeout(timeout + idleTimeoutMargin);
+    });
+  }
+
+  private recordUnanswered(request: OpenRequest, end: ConnectionEnd): void {
+    const { clock, gracefulStop, logger, metrics } = this.services;
+    const { id, route, progress, receivedAt, response } = request;
+    metrics.recordUnansweredRequest(progress.stage.kind, end.kind);
+    logger.warn("request unanswered", {
+      request: id,
+      route,
+      stage: progress.stage.kind,
+      target: progress.lastTarget,
+      failure: progress.lastFailure,
+      hasBegun: response.headersSent,
+      hasEnded: response.writableEnded,
+      age: Math.round(clock.monotonicTime() - receivedAt),
+      closedBy: end.kind,
+      ...("code" in end ? { code: end.code } : {}),
+      ...("reason" in end ? { reason: end.reason } : {}),
+      isStopping: gracefulStop.isStopping,
+    });
+  }
+
+  private async route(request: http.IncomingMessage, open: OpenRequest): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
-    if (this.services.shouldRefuseRequests())
-      throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
+    this.assertAccepting(open.receivedAt);
     const initialTable = replicatedState.routes;
     if (initialTable === undefined) {
       const kind = ErrorKind.SettingsUnknown;
       throw new RouterError(kind, RunState.NotRun, "", unknownSettingsRetrySeconds);
     }
-    const body = await readBody(request, initialTable.limits.maximumBodyBytes);
+    const body = await Promise.race([
+      readBody(request, initialTable.limits.maximumBodyBytes),
+      rejectOnEnd(open.signal),
+    ]);
     if (body.isErr) throw body.error;
+    open.progress.recordRead();
     // The settings may have changed while the body was being received.
     const table = replicatedState.routes ?? initialTable;
     const path = request.url ?? "/";
     const route = table.match(request.headers.host ?? "", path);
     if (route === undefined) throw new RouterError(ErrorKind.UnknownRoute, RunState.NotRun);
+    open.route = route.name;
     const workspace = findWorkspace(request, route, table, headerNames.apiKey);
     const id = request.headers[headerNames.requestId];
     if (typeof id !== "string" || id === "" || id.length > maximumIdentifierLength) {
@@ -139,6 +231,8 @@
       requestedTimeout > 0 ? requestedTimeout : Infinity,
       route.timeout,
     );
+    const deadline = open.receivedAt + effectiveTimeout;
+    this.assertAccepting(deadline);
     return {
       id,
       method: request.method ?? "GET",
@@ -149,13 +243,19 @@
       service,
       workspace: workspace?.name,
       priority: workspace?.priority ?? route.priority,
-      deadline: receivedAt + effectiveTimeout,
+      deadline,
       ...parseTokenCounts(request, headerNames.tokenCounts),
       sharedPromptParts: parseSharedPromptParts(request, headerNames.promptParts),
-      signal,
+      signal: open.signal,
+      progress: open.progress,
     };
   }
 
+  private assertAccepting(deadline: Milliseconds): void {
+    if (this.services.gracefulStop.shouldRefuse(deadline))
+      throw new RouterError(ErrorKind.Stopping, RunState.NotRun, "", stoppingRetrySeconds);
+  }
+
   private answer(routed: RoutedRequest, answer: HttpCallerAnswer): Promise<void> {
     switch (routed.route.kind) {
       case RouteKind.Streaming:
@@ -166,13 +266,9 @@
     }
   }
 
-  private refuse(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    error: RouterError,
-    route: ForwardRoute | undefined,
-  ): void {
+  private refuse(request: http.IncomingMessage, open: OpenRequest, error: RouterError): void {
     const { logger, metrics, replicatedState, headerNames } = this.services;
+    const { response, route } = open;
     const { status } = getErrorResponse(error.kind);
     metrics.recordRefusal(error.kind, error.run);
     logger.warn("refused", {
@@ -181,17 +277,18 @@
       run: error.run,
       status,
       detail: error.detail,
-      route: route?.name,
+      route,
       settings: replicatedState.routes?.version,
     });
     if (error.kind === ErrorKind.CallerGone || response.headersSent) {
+      if (!request.socket.readableEnded) open.endReason = error.kind;
       response.destroy();
       return;
     }
     const headers: http.OutgoingHttpHeaders = { "content-type": "application/json" };
     if (error.retryAfterSeconds !== undefined)
       headers["retry-after"] = String(error.retryAfterSeconds);
-    if (!request.complete || this.services.isStopping()) headers.connection = "close";
+    if (!request.complete || this.services.gracefulStop.isStopping) headers.connection = "close";
     const body = JSON.stringify({
       error: { kind: error.kind, run: error.run, message: error.message },
     });
@@ -247,6 +344,23 @@
   return [...new Set(shared)].slice(0, maximumSharedParts);
 }
 
+function findProgress(
+  routed: RoutedRequest | undefined,
+  refusal: RouterError | undefined,
+): "reading" | "not offered" | "offered" | "answering" {
+  if (routed === undefined) return "reading";
+  if (refusal === undefined) return "answering";
+  return refusal.run === RunState.NotRun ? "not offered" : "offered";
+}
+
+function rejectOnEnd(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    signal.addEventListener("abort", () => {
+      reject(createEndError(signal, false));
+    });
+  });
+}
+
 function toInternalError(error: unknown): RouterError {
   return new RouterError(ErrorKind.Internal, RunState.Unknown, String(error));
 }
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -5,6 +5,9 @@
   getErrorResponse,
   LifecycleManager,
   readBody,
+  runDetached,
+  writeJsonText,
+  type Logger,
   type Milliseconds,
 } from "@lovagebend/common";
 import { AnswerMemory, TargetConnections } from "@lovagebend/forwarding";
@@ -15,15 +18,17 @@
 import { CallerServer, type CallerServerServices } from "./caller-server.js";
 import { ReplicatedState } from "./replicated-state.js";
 import { EntryMetrics } from "./metrics.js";
+import { refuseOwnAddresses } from "./own-addresses.js";
 import { Peers } from "./peers.js";
 import { placeLayers } from "./place-layers.js";
 import { reviewQuarantine, storeVerdicts } from "./review-quarantine.js";
 import { exchangeRetryLoans } from "./retry-loans.js";
 import { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { Address, EntryDependencies } from "./entry-dependencies.js";
+import { GracefulStop } from "./graceful-stop.js";
 
-/// `stop` is the graceful shutdown: it resolves when no request is in progress, or when
-/// the shutdown timeout has passed.
+/// `stop` is the graceful shutdown: it resolves when no request is in progress, or shortly
+/// before the shutdown timeout. Further calls return the same promise.
 export interface RunningEntryVm {
   stop(): Promise<void>;
 }
@@ -37,9 +42,6 @@
 // The number of entry VMs in each data centre that poll the store for each change. With four,
 // one remains when two entry VMs fail and the store refuses a third of all entry VMs.
 const directFollowersPerDataCentre = 4;
-const stopPollInterval: Milliseconds = 50;
-// Reserved at the end of the shutdown timeout for the process itself to exit.
-const exitMargin: Milliseconds = 400;
 
 /// Starts an entry VM. Throws if it cannot listen on one of its addresses; then none of its
 /// servers remains.
@@ -47,10 +49,21 @@
   const { identity, clock, logger } = dependencies;
   const lifecycle = new LifecycleManager();
   const targetRegistry = new TargetRegistry(clock, logger);
-  const replicatedState = new ReplicatedState(dependencies, targetRegistry);
+  const replicatedState = new ReplicatedState(
+    { ...dependencies, readTarget: refuseOwnAddresses(dependencies.readTarget, identity) },
+    targetRegistry,
+  );
   const quarantine = new PromptQuarantine();
   const requestLimiter = new SharedRequestLimiter(clock, logger);
-  const peers = new Peers(identity, replicatedState, quarantine, requestLimiter, clock, logger);
+  const peers = new Peers(
+    identity,
+    replicatedState,
+    quarantine,
+    requestLimiter,
+    dependencies.store.era,
+    clock,
+    logger,
+  );
   requestLimiter.connect(peers);
   requestLimiter.onChange = () => {
     peers.publishNow();
@@ -71,8 +84,7 @@
   };
   replicatedState.shouldFollowDirectly = () =>
     peers.isAmongFirst(directFeedRole, directFollowersPerDataCentre);
-  let isStopping = false;
-  let shouldRefuseRequests = false;
+  const gracefulStop = new GracefulStop(dependencies.limits, clock, logger);
   const services: CallerServerServices = {
     clock,
     logger,
@@ -93,17 +105,22 @@
     formatPath: dependencies.formatPath,
     replicatedState,
     metrics,
-    isStopping: () => isStopping,
-    shouldRefuseRequests: () => shouldRefuseRequests,
+    gracefulStop,
   };
   const callerServer = new CallerServer(services);
   const readinessServer = http.createServer((request, response) => {
     const isReady =
-      request.url === identity.readinessPath && replicatedState.isComplete && !isStopping;
+      request.url === identity.readinessPath &&
+      replicatedState.isComplete &&
+      !gracefulStop.isStopping;
     response.writeHead(isReady ? 200 : 503, { "content-length": 0 }).end();
   });
   const peerServer = http.createServer((request, response) => {
-    void handlePeerRequest(peers, request, response);
+    const handling = handlePeerRequest(peers, request, response).catch((error: unknown) => {
+      response.destroy();
+      throw error;
+    });
+    runDetached(logger, "peer request", handling);
   });
   metrics.addGauge("requests_in_progress", "Requests in progress", () => callerServer.inProgress);
   metrics.addGauge(
@@ -122,6 +139,14 @@
     () => peers.findLiveEntryVms().length,
   );
 
+  metrics.addGauge("store_era", "Era of the store", () => dependencies.store.era.current);
+  const eraChanges = dependencies.store.era.changes.subscribe(() => {
+    metrics.recordEraChange();
+  });
+  lifecycle.addResource("store era", () => {
+    eraChanges.unsubscribe();
+  });
+
   const startServer = async (
     name: string,
     server: http.Server,
@@ -143,7 +168,7 @@
     if (identity.metrics !== undefined)
       await startServer(
         "metrics server",
-        createMetricsServer(metrics, identity.metricsPath),
+        createMetricsServer(metrics, identity.metricsPath, logger),
         identity.metrics,
       );
   } catch (error) {
@@ -160,7 +185,9 @@
     });
   };
   runTask("peers", (signal) => peers.run(signal));
-  runTask("registration", () => peers.register(dependencies.store, dependencies.tables.entryVms));
+  runTask("registration", (signal) =>
+    peers.register(dependencies.store, dependencies.tables.entryVms, signal),
+  );
   runTask("retry loans", (signal) => exchangeRetryLoans({ budget, peers, clock, logger }, signal));
   const quarantineParts = {
     quarantine,
@@ -195,27 +222,13 @@
   });
   logger.info("started", { dataCentre: identity.dataCentre });
 
-  return {
-    async stop() {
-      if (isStopping) return;
-      const stopRequestedAt = clock.monotonicTime();
-      isStopping = true;
-      peers.stop();
-      logger.info("stopping", { inProgress: callerServer.inProgress });
-      await clock.sleep(dependencies.limits.drainDelay);
-      shouldRefuseRequests = true;
-      callerServer.server.closeIdleConnections();
-      while (
-        callerServer.inProgress > 0 &&
-        clock.monotonicTime() - stopRequestedAt < dependencies.limits.shutdownTimeout - exitMargin
-      ) {
-        await clock.sleep(stopPollInterval);
-        callerServer.server.closeIdleConnections();
-      }
-      logger.info("stopped", { inProgress: callerServer.inProgress });
-      await lifecycle.close();
-    },
+  let stopped: Promise<void> | undefined;
+  const stop = async (): Promise<void> => {
+    peers.stop();
+    await gracefulStop.run(callerServer);
+    await lifecycle.close();
   };
+  return { stop: () => (stopped ??= stop()) };
 }
 
 async function handlePeerRequest(
@@ -229,18 +242,21 @@
     return;
   }
   const reply = await peers.receive(body.value.toString("utf8"));
-  response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(reply));
+  const text = writeJsonText(reply);
+  if (text.isErr) throw new Error(`the reply has no JSON form: ${text.error}`);
+  response.writeHead(200, { "content-type": "application/json" }).end(text.value);
 }
 
-function createMetricsServer(metrics: EntryMetrics, path: string): http.Server {
+function createMetricsServer(metrics: EntryMetrics, path: string, logger: Logger): http.Server {
   return http.createServer((request, response) => {
     if (request.url !== path) {
       response.writeHead(404).end();
       return;
     }
-    void metrics.registry.metrics().then((text) => {
+    const answering = metrics.registry.metrics().then((text) => {
       response.writeHead(200, { "content-type": metrics.registry.contentType }).end(text);
     });
+    runDetached(logger, "metrics request", answering);
   });
 }
 
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -3,30 +3,37 @@
 //! its cost does not grow with the number of entry VMs.
 import {
   exchangeJson,
+  parseJsonText,
   rankByRendezvousHash,
+  validate,
   type Clock,
   type Logger,
   type Milliseconds,
 } from "@lovagebend/common";
-import { GossipState } from "@lovagebend/membership";
+import { GossipState, type GossipDigest } from "@lovagebend/membership";
 import type { PromptQuarantine, QuarantineExchange } from "@lovagebend/quarantine";
-import type { RowStore } from "@lovagebend/store";
-import { JSONRPCClient, JSONRPCServer, type JSONRPCResponse } from "json-rpc-2.0";
-import type { ReplicatedState } from "./replicated-state.js";
 import {
-  fromWireRows,
-  parseVmFact,
-  toWireRows,
-  type PeerMessage,
-  type TableVersions,
-  type VmFact,
-} from "./peer-message.js";
+  isLater,
+  type Revision,
+  type RowStore,
+  type StoreEra,
+  type TableTransfer,
+} from "@lovagebend/store";
+import {
+  createJSONRPCErrorResponse,
+  JSONRPCClient,
+  JSONRPCErrorCode,
+  JSONRPCServer,
+  type JSONRPCResponse,
+} from "json-rpc-2.0";
+import * as z from "zod";
+import { keepOwnRows } from "./own-rows.js";
+import type { ReplicatedState } from "./replicated-state.js";
+import { factKeys, readPeerMessage, readVmFact } from "./peer-message-schema.js";
+import { describeTables, readTables, type PeerMessage, type VmFact } from "./peer-message.js";
 import type { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { EntryIdentity } from "./entry-dependencies.js";
 
-const vmFactKey = "vm";
-const suspicionsFactKey = "doubts";
-const limitsFactKey = "limits";
 // Covers the duration of the shortest suspicion plus the time that gossip takes to spread.
 const maximumSuspicionAge: Milliseconds = 1_500;
 const factLifetime: Milliseconds = 15_000;
@@ -46,10 +53,29 @@
 const localExchangeShareWithManyPeers = 0.9;
 const explorationShare = 0.2;
 const exchangeMethod = "exchange";
+const maximumLoggedFaults = 5;
+const callSchema = z.looseObject({
+  jsonrpc: z.literal("2.0"),
+  method: z.string(),
+  id: z.union([z.string(), z.number(), z.null()]).optional(),
+});
+
+// What the receiver of a message has, as far as it is known.
+interface ReceiverState {
+  readonly digest: GossipDigest;
+  readonly document: Revision;
+  readonly targets: Revision;
+  readonly settings: number | undefined;
+  readonly quarantine?: QuarantineExchange | undefined;
+}
 
 export class Peers {
   private readonly gossip: GossipState;
-  private readonly server = new JSONRPCServer();
+  private readonly server = new JSONRPCServer({
+    errorListener: (message, data) => {
+      this.logger.warn("call of a peer failed", { reason: message, detail: String(data) });
+    },
+  });
   private readonly registeredVms = new Map<string, VmFact>();
   private publishedAt: Milliseconds = -Infinity;
   private triggeredAt: Milliseconds = -Infinity;
@@ -61,17 +87,22 @@
     private readonly replicatedState: ReplicatedState,
     private readonly quarantine: PromptQuarantine,
     private readonly requestLimiter: SharedRequestLimiter,
+    private readonly storeEra: StoreEra,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
     // Versions start at the wall clock, which is later at each restart of the same entry VM.
     this.gossip = new GossipState(identity.name, clock.wallClockTime(), factLifetime);
-    this.server.addMethod(exchangeMethod, (message: PeerMessage) => this.handleExchange(message));
+    this.server.addMethod(exchangeMethod, (message: unknown) =>
+      this.handleExchange(this.readMessage(message, "caller")),
+    );
   }
 
   /// Handles a JSON-RPC call from a peer and returns the JSON-RPC reply.
-  receive(body: string): PromiseLike<JSONRPCResponse | null> {
-    return this.server.receiveJSON(body) as PromiseLike<JSONRPCResponse | null>;
+  async receive(body: string): Promise<JSONRPCResponse | null> {
+    const call = validate(callSchema, parseJsonText(body).unwrapOr(undefined));
+    if (call.isErr) return createJSONRPCErrorResponse(null, JSONRPCErrorCode.InvalidRequest, "");
+    return this.server.receive({ ...call.value, id: call.value.id ?? null });
   }
 
   /// The names of the entry VMs that are live and not stopping, including this one; sorted.
@@ -141,7 +172,7 @@
   /// The targets that some entry VM suspects, according to recent gossip.
   findSuspectedTargets(): string[] {
     return this.gossip
-      .facts(suspicionsFactKey, this.clock.monotonicTime())
+      .facts(factKeys.suspicions, this.clock.monotonicTime())
       .filter(({ age }) => age <= maximumSuspicionAge)
       .flatMap(({ value }) => value as string[]);
   }
@@ -197,22 +228,25 @@
     this.publishedAt = -Infinity;
   }
 
-  /// Registers this entry VM in the store and reads the addresses of the others from it, for
-  /// the case that no seed answers.
-  async register(store: RowStore, table: string): Promise<void> {
+  /// Reads the addresses of the others from the store, for the case that no seed answers, and
+  /// keeps this entry VM registered there until `signal` aborts.
+  async register(store: RowStore, table: string, signal: AbortSignal): Promise<void> {
+    const { clock, logger } = this;
     const registered = await store.readTable(table);
     if (registered.isErr) {
-      this.logger.warn("reading entry VMs from the store failed", { reason: registered.error });
+      logger.warn("reading entry VMs from the store failed", { reason: registered.error });
     } else {
       for (const { key, value } of registered.value.rows) {
-        const fact = value === undefined ? undefined : parseVmFact(value);
-        if (fact !== undefined) this.registeredVms.set(key, fact);
+        if (value === undefined) continue;
+        const fact = readVmFact(value);
+        if (fact.isOk) this.registeredVms.set(key, fact.value);
+        else this.logger.warn("ignoring invalid entry VM", { entryVm: key, reason: fact.error });
       }
     }
-    const ownValue = Buffer.from(JSON.stringify(this.describeSelf()));
-    const written = await store.write(table, this.identity.name, ownValue);
-    if (written.isErr)
-      this.logger.warn("registration in the store failed", { reason: written.error });
+    const content = JSON.stringify(this.describeSelf());
+    const row = { key: this.identity.name, content, value: Buffer.from(content) };
+    const event = "entry VM registered";
+    await keepOwnRows({ store, table, clock, logger, event, listRows: () => [row] }, signal);
   }
 
   /// Exchanges with one random peer at a time until `signal` aborts.
@@ -247,51 +281,79 @@
   private async exchangeWith(address: string, signal: AbortSignal): Promise<void> {
     const client = this.createClient(address, signal);
     try {
-      const ownMessage = this.composeMessage({ digest: {}, versions: this.readTableVersions() }, [
-        this.identity.name,
-      ]);
-      const reply = (await client.request(exchangeMethod, ownMessage)) as PeerMessage;
+      const { document, targets } = this.replicatedState.replicas;
+      // The peer's state is not known yet, so that it is sent none.
+      const unknown = {
+        digest: {},
+        document: document.revision,
+        targets: targets.revision,
+        settings: undefined,
+      };
+      const ownMessage = this.composeMessage(unknown, [this.identity.name]);
+      const reply = this.readMessage(await client.request(exchangeMethod, ownMessage), address);
       const quarantine = this.mergeMessage(reply, address);
       const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
-      if (!this.hasNewerRowsThan(reply) && !differs) return;
-      const ownReply = this.composeMessage({ ...reply, quarantine });
-      this.mergeMessage((await client.request(exchangeMethod, ownReply)) as PeerMessage, address);
+      if (!this.hasNewerStateThan(reply) && !differs) return;
+      const ownReply = this.composeMessage({ ...this.readReceiverState(reply), quarantine });
+      const secondReply: unknown = await client.request(exchangeMethod, ownReply);
+      this.mergeMessage(this.readMessage(secondReply, address), address);
     } catch (error) {
       if (!signal.aborted)
         this.logger.info("call to peer failed", { peer: address, reason: String(error) });
     }
   }
 
+  // Throws if `value` is no message, which ends the exchange.
+  private readMessage(value: unknown, peer: string): PeerMessage {
+    const read = readPeerMessage(value);
+    if (read.isErr) throw new Error(`invalid message: ${read.error}`);
+    const { message, faults } = read.value;
+    if (faults.length > 0)
+      this.logger.warn("ignoring invalid parts of a peer's message", {
+        peer,
+        count: faults.length,
+        faults: faults.slice(0, maximumLoggedFaults),
+      });
+    return message;
+  }
+
   private handleExchange(message: PeerMessage): PeerMessage {
     const quarantine = this.mergeMessage(message, "caller");
     this.publishOwnFacts();
-    return this.composeMessage({ ...message, quarantine });
+    return this.composeMessage({ ...this.readReceiverState(message), quarantine });
   }
 
   // Returns the message's part on the quarantine if it is valid.
   private mergeMessage(message: PeerMessage, peer: string): QuarantineExchange | undefined {
+    if (this.gossip.riseAbove(message.digest)) {
+      const version = message.digest[this.identity.name];
+      this.logger.warn("peer holds facts of an earlier start", { peer, version });
+    }
     const newFacts = this.gossip.merge(message.facts, this.clock.monotonicTime());
     const suspicions = newFacts.filter(
-      ({ key, age }) => key === suspicionsFactKey && age <= maximumSuspicionAge,
+      ({ key, age }) => key === factKeys.suspicions && age <= maximumSuspicionAge,
     );
     const suspectedTargets = suspicions.flatMap(({ value }) => value as string[]);
     if (this.replicatedState.targetRegistry.recordPeerSuspicions(suspectedTargets))
       this.triggerExchange();
     for (const { key, value, age } of newFacts)
-      if (key === limitsFactKey && this.requestLimiter.mergeLimits(value, age))
+      if (key === factKeys.limits && this.requestLimiter.mergeLimits(value, age))
         this.triggerExchange();
-    this.mergeRows(message, peer);
+    this.mergeState(message, peer);
     return this.mergeQuarantine(message, peer);
   }
 
-  private mergeRows({ rows, versions, lapseGrace }: PeerMessage, peer: string): void {
-    const received = {
-      document: fromWireRows(rows.document),
-      targets: fromWireRows(rows.targets),
+  private mergeState(message: PeerMessage, peer: string): void {
+    const tables = readTables(message, this.storeEra.unnamed);
+    const document = message.settings?.value ?? undefined;
+    const isEmpty = ({ rows, isWhole }: TableTransfer): boolean => rows.length === 0 && !isWhole;
+    if (isEmpty(tables.document) && isEmpty(tables.targets) && document === undefined) return;
+    const state = {
+      tables,
+      document: document === undefined ? undefined : Buffer.from(document, "base64"),
+      lapseGrace: message.lapseGrace,
     };
-    if (received.document.length === 0 && received.targets.length === 0) return;
-    if (this.replicatedState.mergePeerRows(received, versions, peer, lapseGrace))
-      this.triggerExchange();
+    if (this.replicatedState.mergePeerState(state, peer)) this.triggerExchange();
   }
 
   private mergeQuarantine(
@@ -304,48 +366,73 @@
     return valid;
   }
 
-  private composeMessage(
-    other: Pick<PeerMessage, "digest" | "versions"> & {
-      quarantine?: QuarantineExchange | undefined;
-    },
-    onlyOwners?: readonly string[],
-  ): PeerMessage {
+  private composeMessage(receiver: ReceiverState, onlyOwners?: readonly string[]): PeerMessage {
     const now = this.clock.monotonicTime();
-    const facts = this.gossip.newerThan(other.digest, now);
-    const { document, targets } = this.replicatedState.replicas;
+    const facts = this.gossip.newerThan(receiver.digest, now);
+    const { replicas } = this.replicatedState;
     return {
       digest: this.gossip.digest(),
-      versions: this.readTableVersions(),
       facts:
         onlyOwners === undefined ? facts : facts.filter(({ owner }) => onlyOwners.includes(owner)),
-      rows: {
-        document: toWireRows(document.findRowsNewerThan(other.versions.document)),
-        targets: toWireRows(targets.findRowsNewerThan(other.versions.targets)),
+      ...describeTables({
+        document: replicas.document.composeTransfer(receiver.document),
+        targets: replicas.targets.composeTransfer(receiver.targets),
+      }),
+      settings: {
+        version: this.settingsVersion,
+        value: this.findDocumentFor(receiver)?.toString("base64") ?? null,
       },
       lapseGrace: this.replicatedState.targetRegistry.getRemainingGrace(),
-      quarantine: this.quarantine.composeExchange(other.quarantine, now),
+      quarantine: this.quarantine.composeExchange(receiver.quarantine, now),
     };
   }
 
-  private hasNewerRowsThan({ versions }: PeerMessage): boolean {
-    const ownVersions = this.readTableVersions();
-    return ownVersions.document > versions.document || ownVersions.targets > versions.targets;
+  private hasNewerStateThan(other: PeerMessage): boolean {
+    const { document, targets } = this.replicatedState.replicas;
+    const receiver = this.readReceiverState(other);
+    return (
+      isLater(document.revision, receiver.document) ||
+      isLater(targets.revision, receiver.targets) ||
+      this.findDocumentFor(receiver) !== undefined
+    );
+  }
+
+  // Returns the operator's document in force if the receiver has an earlier one. A receiver of
+  // an older version names none, and gets the row only.
+  private findDocumentFor({ settings }: ReceiverState): Buffer | undefined {
+    if (settings === undefined || this.settingsVersion <= settings) return undefined;
+    return this.replicatedState.document;
   }
 
-  private readTableVersions(): TableVersions {
+  private get settingsVersion(): number {
+    return this.replicatedState.routes?.version ?? -1;
+  }
+
+  private readReceiverState(message: PeerMessage): ReceiverState {
     const { document, targets } = this.replicatedState.replicas;
-    return { document: document.version, targets: targets.version };
+    const { digest, versions, histories, settings } = message;
+    // A receiver of an older version names no eras, and compares versions only.
+    return {
+      digest,
+      document: {
+        era: histories?.document.era ?? document.revision.era,
+        version: versions.document,
+      },
+      targets: { era: histories?.targets.era ?? targets.revision.era, version: versions.targets },
+      settings: settings?.version,
+    };
   }
 
   private publishOwnFacts(): void {
     const now = this.clock.monotonicTime();
     const suspectedTargets = this.replicatedState.targetRegistry.getSuspectedTargets();
-    if (suspectedTargets.length > 0) this.gossip.publish(suspicionsFactKey, suspectedTargets, now);
+    if (suspectedTargets.length > 0)
+      this.gossip.publish(factKeys.suspicions, suspectedTargets, now);
     if (now - this.publishedAt < publishInterval) return;
     this.publishedAt = now;
     const limits = this.requestLimiter.describeLimits();
-    if (limits.length > 0) this.gossip.publish(limitsFactKey, limits, now);
-    this.gossip.publish(vmFactKey, this.describeSelf(), now);
+    if (limits.length > 0) this.gossip.publish(factKeys.limits, limits, now);
+    this.gossip.publish(factKeys.vm, this.describeSelf(), now);
   }
 
   private describeSelf(): VmFact {
@@ -355,7 +442,7 @@
 
   private findVmFacts() {
     return this.gossip
-      .facts(vmFactKey, this.clock.monotonicTime())
+      .facts(factKeys.vm, this.clock.monotonicTime())
       .map(({ owner, age, value }) => ({ owner, age, value: value as VmFact }));
   }
 
