--- a/packages/entry/src/graceful-stop.ts
+++ b/packages/entry/src/graceful-stop.ts
@@ -1,6 +1,7 @@
 //! The phases of a graceful stop. New requests are accepted at first, since the load balancer
-//! still sends some, and then only those that are certain to end in time. The requests in progress go on until the last moment at
-//! which an answer of the router's own still reaches the caller before the process is killed.
+//! still sends some, and then only those that are certain to end in time. The requests in progress
+//! go on until the last moment at which an answer of the router's own still reaches the caller
+//! before the process is killed.
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { CallerServer } from "./caller-server.js";
 import type { EntryLimits } from "./entry-dependencies.js";
--- a/packages/membership/src/gossip-state.ts
+++ b/packages/membership/src/gossip-state.ts
@@ -4,7 +4,8 @@
 
 /// A fact that `owner` published under `key`. `version` increases with each publication of
 /// the owner, across all its facts; after a restart the owner begins above every earlier
-/// version, or rises above it when a peer's digest shows one. `age` is the time in milliseconds since the owner published the fact.
+/// version, or rises above it when a peer's digest shows one. `age` is the time in milliseconds
+/// since the owner published the fact.
 export interface GossipEntry {
   readonly owner: string;
   readonly key: string;
--- a/packages/store/src/store-era.ts
+++ b/packages/store/src/store-era.ts
@@ -30,7 +30,7 @@
 export class StoreEra {
   private known: Era | undefined;
   private reportedFirst: Era | undefined;
-  private doesStoreNameEra = false;
+  private didLastAnswerNameEra = false;
   private readonly changesSubject = new Subject<EraChange>();
 
   constructor(private readonly logger: Logger) {}
@@ -56,9 +56,9 @@
   /// the current era. Returns the era of the answer, or `undefined` if the answer is late: of
   /// an era before the current one.
   observeAnswer(named: Era | undefined): Era | undefined {
-    if (this.doesStoreNameEra && named === undefined)
+    if (this.didLastAnswerNameEra && named === undefined)
       this.logger.warn("store names no era", { era: this.current });
-    this.doesStoreNameEra = named !== undefined;
+    this.didLastAnswerNameEra = named !== undefined;
     const era = named ?? this.current;
     if (era < this.current) {
       this.logger.warn("late answer of the store discarded", { era, current: this.current });
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -7,9 +7,9 @@
 import type { RowStore, StoredRow } from "./row-store.js";
 
 /// `whole`: all rows of the table; any other row was removed. It replaces a later state if
-/// `replacesLater`, since that one cannot be the store's. `rows`: the rows that
-/// changed since the last snapshot of the same era. `away`: a call to the store failed. `back`: the first call after that succeeded;
-/// emitted before its rows, and also if it returned none.
+/// `replacesLater`, since that one cannot be the store's. `rows`: the rows that changed since the
+/// last snapshot of the same era. `away`: a call to the store failed. `back`: the first call after
+/// that succeeded; emitted before its rows, and also if it returned none.
 export type TableChange =
   | ({
       readonly kind: "whole";
