Refuse requests that arrive after the end of a stop

Cause: a stop ends early when nothing is in progress, and then waits for background tasks, up to 0.8 s for a write to a silent store, before it closes the server for callers.

Now a request is refused as soon as the requests in progress have been ended.

--- a/packages/entry/src/graceful-stop.ts
+++ b/packages/entry/src/graceful-stop.ts
@@ -15,8 +15,15 @@
 // Callers get this time for their answers also when the process comes late to the end.
 const minimumFlushTime: Milliseconds = 200;
 
+/// What a stop needs of the server for callers.
+type StoppableServer = Pick<
+  CallerServer,
+  "inProgress" | "endedRequests" | "closeIdleConnections" | "endRequests"
+>;
+
 export class GracefulStop {
   private requestedAt: Milliseconds = Infinity;
+  private hasEndedRequests = false;
 
   constructor(
     private readonly limits: Pick<EntryLimits, "shutdownTimeout" | "drainDelay">,
@@ -32,7 +39,7 @@
   /// refused. After the drain delay, all are whose deadline lies behind the end of requests.
   shouldRefuse(deadline: Milliseconds): boolean {
     const now = this.clock.monotonicTime();
-    if (now >= this.endsRequestsAt) return true;
+    if (this.hasEndedRequests || now >= this.endsRequestsAt) return true;
     return now >= this.requestedAt + this.limits.drainDelay && deadline > this.endsRequestsAt;
   }
 
@@ -43,7 +50,7 @@
 
   /// Resolves when no request is in progress after the drain delay, or, shortly before the
   /// shutdown timeout, when all requests have been ended and callers had time to read the answers.
-  async run(callerServer: CallerServer): Promise<void> {
+  async run(callerServer: StoppableServer): Promise<void> {
     const { clock, logger, limits } = this;
     this.requestedAt = clock.monotonicTime();
     logger.info("stopping", { inProgress: callerServer.inProgress });
@@ -53,6 +60,7 @@
       await clock.sleep(pollInterval);
       await callerServer.closeIdleConnections();
     }
+    this.hasEndedRequests = true;
     callerServer.endRequests();
     const exitsAt = Math.max(
       this.requestedAt + limits.shutdownTimeout - exitMargin,
