Count a silent engine as one that may have run the stream

What callers and targets would see: a stream that may be resumed ran on three engines (before its first event) or four (after some) although its route allows two, when engines were silent for 2.5 s (BUDGET).

Cause: a dispatch that is aborted because its engine is silent counted as an execution only if the engine had sent a head; the engine may still run it.

Now the current dispatch counts before a stream is moved, and one that was moved away from a silent engine counts afterwards. Engines that reset the connection or have ended do not count, as before.

silent-targets.test.ts, "streams silent after ... run on two engines at most", fails before (3 and 4 engines for each of six streams) and passes after; the tests of streams, leaving engines and unfinished answers pass. The cost: a stream whose second engine falls silent for good waits for it to end.

--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -84,7 +84,6 @@
   private dispatches = 0;
   /// Whether the retry budget has been charged for the dispatch that replaces the current one.
   private isReplacementPaid = false;
-  private hasResponseHead = false;
   /// Whether an engine has written the answer for longer than its start.
   private hasLived = false;
   /// Times of the current dispatch, for the log.
@@ -310,7 +309,6 @@
       return { kind: "notRun", reason: "the first target is no longer listed" };
     const remainingTime = request.deadline - clock.monotonicTime();
     this.dispatchAbort = new AbortController();
-    this.hasResponseHead = false;
     this.dispatchTarget = first;
     request.progress.recordOffer(first.name);
     this.start = this.createStart();
@@ -376,7 +374,8 @@
       case "unknown":
         if (!wasAborted) targetRegistry.suspect(first, reply.reason);
         this.mayHaveRun = true;
-        return { kind: "broken", reason: reply.reason, hasRun: false };
+        // A silent engine from which the stream is moved away may still run it.
+        return { kind: "broken", reason: reply.reason, hasRun: wasAborted };
       case "answered": {
         const { status, message, isNotRun, faultyTarget } = reply.response;
         const limit = message.headers[this.services.headerNames.requestLimit];
@@ -387,7 +386,6 @@
             this.dispatchedAt,
           );
         if (status === 200 || !isNotRun) this.mayHaveRun = true;
-        this.hasResponseHead = status === 200;
         if (status === 200) return this.forwardEvents(reply.response, watched);
         const body = await readBody(reply.response, this.services.answerMemory);
         if (isNotRun) {
@@ -525,8 +523,8 @@
   private redispatch(urgency: Urgency, excluded: readonly string[]): void {
     const { route } = this.request;
     if (this.dispatchAbort === undefined || this.dispatchAbort.signal.aborted) return;
-    const executions = this.executions + (this.hasResponseHead ? 1 : 0);
-    if (!isRetryable(route) || executions >= route.maximumAttempts) return;
+    // The current dispatch counts as an execution.
+    if (!isRetryable(route) || this.executions + 1 >= route.maximumAttempts) return;
     if (this.dispatches + 1 >= this.maximumDispatches) return;
     if (!this.canReplace(urgency, excluded) || !this.spendRetry()) return;
     this.isReplacementPaid = true;
