Limit the bytes that a target may send before the head of an answer

Cause: Node's client reads blank lines before a head without a limit, so that a target which sends them without end kept the entry VM busy until the deadline: 1,800 and 1,900 ms of processor time in 3,035 ms (eight requests read, eight not), more than the smallest VM has. That is why the case "blank lines before the head" was late by 286 ms at load 25: its answer waited for processor time that the parsing had used. Ruled out: the test's own lateness; the other cases took 20 to 850 ms.

Change: an exchange ends with an unknown outcome after 64 KiB before the head, four times the largest head that the client accepts.

--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -51,6 +51,9 @@
 const misdirectedStatus = 421;
 // Targets announce an answer with a few interim responses (status 1xx) at most.
 const maximumInterimResponses = 16;
+// Four times the largest head that Node's client accepts. The client limits neither blank lines
+// before a head nor the heads of interim responses together.
+const maximumBytesBeforeAnswer = 64 * 1024;
 
 /// Sends `request`. Never throws; if its signal is aborted, the result is `unknown` or
 /// `notSent`.
@@ -104,6 +107,10 @@
     outgoing.on("error", (error) => {
       fail(error.message);
     });
+    limitBytesBeforeAnswer(outgoing, () => {
+      fail(`more than ${maximumBytesBeforeAnswer} bytes before the head of an answer`);
+      outgoing.destroy();
+    });
     let interimResponses = 0;
     outgoing.on("information", () => {
       interimResponses += 1;
@@ -144,6 +151,24 @@
   });
 }
 
+function limitBytesBeforeAnswer(outgoing: http.ClientRequest, onExcess: () => void): void {
+  outgoing.once("socket", (socket) => {
+    let received = 0;
+    const count = (chunk: Buffer): void => {
+      received += chunk.length;
+      if (received > maximumBytesBeforeAnswer) onExcess();
+    };
+    const stopCounting = (): void => {
+      // A listener that is removed while a chunk is being delivered still gets that chunk.
+      received = -Infinity;
+      socket.off("data", count);
+    };
+    socket.on("data", count);
+    outgoing.once("response", stopCounting);
+    outgoing.once("close", stopCounting);
+  });
+}
+
 const maximumAnswerBytes = 16 * 1024 * 1024;
 
 /// Reads the complete body of an answer. Returns an error if the connection fails or closes
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -267,6 +267,27 @@
 });
 
 // Guards against an exception for a target whose address or name Node does not accept.
+// Guards against a target that keeps an entry VM busy until the deadline: Node's client reads blank
+// lines before a head without a limit.
+t.test("blank lines without end before the head end the exchange", async (t) => {
+  const { send } = await startRawTarget((socket) => {
+    const sendLines = (): void => {
+      if (!socket.destroyed) socket.write("\r\n".repeat(10_000), () => setImmediate(sendLines));
+    };
+    sendLines();
+  });
+  t.match(await send("mine"), { kind: "unknown", reason: /bytes before the head of an answer/ });
+});
+
+t.test("a large body in the first chunk of an answer does not count as its head", async (t) => {
+  const body = "x".repeat(100_000);
+  const { send } = await startRawTarget((socket) => socket.write(formatResponse("mine", body)));
+  const outcome = await send("mine");
+  if (outcome.kind !== "answered") throw new Error(outcome.kind);
+  const read = await readBody(outcome.response, new AnswerMemory(1_000_000));
+  t.equal(read.unwrapOr(Buffer.alloc(0)).length, body.length);
+});
+
 t.test("a request that cannot be built is reported as not sent", async (t) => {
   const { send } = await startRawTarget(() => undefined);
   t.equal((await send("a", { port: 99_999 })).kind, "notSent");
