Choose paths without work for each pair of a target and an entry VM

Cause: each choice of a path counted the entry VMs once for each target, by reading all facts of the gossip, and copied each target several times. With 195 entry VMs and 218 engines that was most of a VM's work under streams (profile: the copies 31%, the counting the rest of the choice). Ruled out as the larger part: the search itself (0.3 to 0.7 ms) and the events (unchanged).

Change: EntryVmDirectory derives what follows from the facts at most every 100 ms and keeps the rendezvous ranks while the candidates stay the same; a target is handed out as a view (ObservedTarget) instead of a copy; a choice counts the entry VMs once. DelayMonitor logs and counts how late periodic work begins, which shows a VM that is paused or short of processor time.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -9,7 +9,8 @@
 import { createEndError, isEndedByStop } from "./request-end.js";
 import type { LimitOutcome } from "./request-limiter.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest, Framing } from "./routed-request.js";
-import type { Target, TargetRegistry } from "./target-registry.js";
+import type { Target } from "./observed-target.js";
+import type { TargetRegistry } from "./target-registry.js";
 
 /// The result of one dispatch to a target. `unknown` means that the target may have run
 /// the request.
--- a/packages/attempts/src/choose-replica.ts
+++ b/packages/attempts/src/choose-replica.ts
@@ -1,7 +1,7 @@
 //! Selects a replica of a plain service by utilisation, data centre and recent refusals.
 //! All entry VMs choose independently, so equal candidates are selected at random.
 import type { Milliseconds } from "@lovagebend/common";
-import type { Target } from "./target-registry.js";
+import type { Target } from "./observed-target.js";
 
 // A replica in another data centre causes traffic between data centres. It is selected only
 // if its utilisation, as a fraction of its slots, is lower by this amount.
--- a/packages/attempts/src/crash-reporter.ts
+++ b/packages/attempts/src/crash-reporter.ts
@@ -4,7 +4,7 @@
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { EngineCalls, ProcessState, RoutedRequest } from "./routed-request.js";
-import type { Target } from "./target-registry.js";
+import type { Target } from "./observed-target.js";
 
 const queryInterval: Milliseconds = 100;
 
--- a/packages/attempts/src/engine-cost.ts
+++ b/packages/attempts/src/engine-cost.ts
@@ -5,7 +5,7 @@
 import { isWithinModel, type LayeredModel } from "@lovagebend/catalog";
 import type { Milliseconds } from "@lovagebend/common";
 import type { LayerHolder } from "@lovagebend/routing";
-import type { Target } from "./target-registry.js";
+import type { Target } from "./observed-target.js";
 
 // The time to send activations to the next engine and wait there for the pass in progress,
 // as a fraction of a step.
--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -1,6 +1,7 @@
 //! Request execution on targets: selection, dispatch, retry, rerouting, resumption and
 //! failure. Also keeps this entry VM's registry of targets with their health and load.
-export { TargetRegistry, type Target } from "./target-registry.js";
+export type { Target } from "./observed-target.js";
+export { TargetRegistry } from "./target-registry.js";
 export { answerBuffered } from "./buffered-answer.js";
 export { createEndError, isEndedByStop, RequestEnd, stoppingRetrySeconds } from "./request-end.js";
 export { answerStreaming } from "./streaming-answer.js";
--- /dev/null
+++ b/packages/attempts/src/observed-target.ts
@@ -0,0 +1,98 @@
+//! A listed target as this entry VM sees it: its entry, and what this entry VM has observed of the
+//! process behind it.
+import type { LayerRange, ListedState, ListedTarget } from "@lovagebend/catalog";
+import type { Clock, Milliseconds } from "@lovagebend/common";
+import { DecayingRate } from "@lovagebend/limits";
+
+/// A listed target with the observations of this entry VM, which go on changing. Times are of the
+/// monotonic clock: until `suspectedUntil` the target gets no new work, until `refusingUntil`
+/// others are preferred. `openTokens` counts the tokens of this entry VM's open requests on it, and
+/// `prefillTokensPerMillisecond` is the recent rate of prompt tokens sent to it. `load` is
+/// the last reported ratio of running and waiting requests to its slots.
+export interface Target extends ListedTarget {
+  readonly openRequests: number;
+  readonly openTokens: number;
+  readonly prefillTokensPerMillisecond: number;
+  readonly suspectedUntil: Milliseconds;
+  readonly refusingUntil: Milliseconds;
+  /// Until when suspicions of other entry VMs are taken into account.
+  readonly peerSuspectedUntil: Milliseconds;
+  readonly load: number;
+}
+
+// One entry VM of many receives only a few streams per second. The window is long enough to
+// contain some of them and shorter than an answer.
+const prefillRateWindow: Milliseconds = 2_000;
+
+/// What this entry VM has observed of the process of one target.
+export class TargetObservations {
+  openRequests = 0;
+  openTokens = 0;
+  readonly prefillRate = new DecayingRate(prefillRateWindow);
+  suspectedUntil: Milliseconds = -Infinity;
+  refusingUntil: Milliseconds = -Infinity;
+  peerSuspectedUntil: Milliseconds = -Infinity;
+  consecutiveRefusals = 0;
+  consecutiveFailures = 0;
+  load = 0;
+}
+
+/// A view that costs nothing to hand out: each request looks at every target of its service
+/// several times. The entry is the one with which the view was made.
+export class ObservedTarget implements Target {
+  readonly name: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly dataCentre: string;
+  readonly state: ListedState;
+  readonly born: number;
+  readonly slots: number;
+  readonly card: string | undefined;
+  readonly layers: LayerRange | undefined;
+
+  constructor(
+    entry: ListedTarget,
+    private readonly observations: TargetObservations,
+    private readonly clock: Clock,
+  ) {
+    this.name = entry.name;
+    this.service = entry.service;
+    this.host = entry.host;
+    this.port = entry.port;
+    this.dataCentre = entry.dataCentre;
+    this.state = entry.state;
+    this.born = entry.born;
+    this.slots = entry.slots;
+    this.card = entry.card;
+    this.layers = entry.layers;
+  }
+
+  get openRequests(): number {
+    return this.observations.openRequests;
+  }
+
+  get openTokens(): number {
+    return this.observations.openTokens;
+  }
+
+  get prefillTokensPerMillisecond(): number {
+    return this.observations.prefillRate.rate(this.clock.monotonicTime());
+  }
+
+  get suspectedUntil(): Milliseconds {
+    return this.observations.suspectedUntil;
+  }
+
+  get refusingUntil(): Milliseconds {
+    return this.observations.refusingUntil;
+  }
+
+  get peerSuspectedUntil(): Milliseconds {
+    return this.observations.peerSuspectedUntil;
+  }
+
+  get load(): number {
+    return this.observations.load;
+  }
+}
--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -5,7 +5,7 @@
 import { findLayerPath, findUncoveredLayers, type PathPart } from "@lovagebend/routing";
 import { estimateLayerHolder } from "./engine-cost.js";
 import type { AttemptServices } from "./routed-request.js";
-import type { Target } from "./target-registry.js";
+import type { Target } from "./observed-target.js";
 
 // The limit on the parts of a path in the published protocol.
 const maximumParts = 32;
@@ -39,13 +39,14 @@
     const { targetRegistry, clock, dataCentre, entryVmCount, localEntryVmCount } = this.services;
     const { model, name: service } = this.service;
     if (model === undefined) return undefined;
+    const now = clock.monotonicTime();
+    const sharing = { local: localEntryVmCount(), all: entryVmCount() };
     const holders = targetRegistry
       .getServingTargets(service)
       .filter(({ name }) => !excluded.includes(name))
       .flatMap((target) => {
-        const sharingEntryVms =
-          target.dataCentre === dataCentre ? localEntryVmCount() : entryVmCount();
-        return estimateLayerHolder(target, model, sharingEntryVms, clock.monotonicTime()) ?? [];
+        const sharingEntryVms = target.dataCentre === dataCentre ? sharing.local : sharing.all;
+        return estimateLayerHolder(target, model, sharingEntryVms, now) ?? [];
       });
     const firstTarget = firstPart === undefined ? undefined : targetRegistry.get(firstPart.target);
     return findLayerPath(holders, {
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -26,7 +26,7 @@
 import { createEndError, isEndedByStop, RequestEnd } from "./request-end.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
 import { StreamPaths } from "./stream-paths.js";
-import type { Target } from "./target-registry.js";
+import type { Target } from "./observed-target.js";
 import { Urgency } from "./stream-watch.js";
 import { WatchedDispatch, type Reroutable } from "./watched-dispatch.js";
 
--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -3,24 +3,8 @@
 //! and the work that this entry VM has in progress on each target.
 import { ListedState, type ListedTarget } from "@lovagebend/catalog";
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
-import { DecayingRate } from "@lovagebend/limits";
 import { EntryHistory, maximumEntryLifetime } from "./entry-history.js";
-
-/// A listed target with the observations of this entry VM. Times are of the monotonic clock:
-/// until `suspectedUntil` the target gets no new work, until `refusingUntil` others are
-/// preferred. `openTokens` counts the tokens of this entry VM's open requests on it, and
-/// `prefillTokensPerMillisecond` is the recent rate of prompt tokens sent to it. `load` is
-/// the last reported ratio of running and waiting requests to its slots.
-export interface Target extends ListedTarget {
-  readonly openRequests: number;
-  readonly openTokens: number;
-  readonly prefillTokensPerMillisecond: number;
-  readonly suspectedUntil: Milliseconds;
-  readonly refusingUntil: Milliseconds;
-  /// Until when suspicions of other entry VMs are taken into account.
-  readonly peerSuspectedUntil: Milliseconds;
-  readonly load: number;
-}
+import { ObservedTarget, TargetObservations, type Target } from "./observed-target.js";
 
 /// A target without an entry that is kept in use until `deadline` at least. `fromStore`: this
 /// entry VM read the removal from the store itself, and waits for the store if it is unavailable.
@@ -36,18 +20,6 @@
   readonly until: Milliseconds;
 }
 
-interface TargetObservations {
-  openRequests: number;
-  openTokens: number;
-  readonly prefillRate: DecayingRate;
-  suspectedUntil: Milliseconds;
-  refusingUntil: Milliseconds;
-  peerSuspectedUntil: Milliseconds;
-  consecutiveRefusals: number;
-  consecutiveFailures: number;
-  load: number;
-}
-
 // A failed target is tried again after an exponential backoff.
 const initialSuspicionDuration: Milliseconds = 400;
 const maximumSuspicionDuration = maximumEntryLifetime;
@@ -59,12 +31,8 @@
 // Entries that expired during a store outage are listed again within two seconds of its end.
 const entryGracePeriod: Milliseconds = 2_300;
 
-// One entry VM of many receives only a few streams per second. The window is long enough to
-// contain some of them and shorter than an answer.
-const prefillRateWindow: Milliseconds = 2_000;
-
 export class TargetRegistry {
-  private readonly listed = new Map<string, ListedTarget>();
+  private readonly listed = new Map<string, ObservedTarget>();
   private readonly observations = new Map<string, TargetObservations>();
   private readonly lapsedEntries = new Map<string, LapsedEntry>();
   private readonly heldEntries = new Map<string, HeldEntry>();
@@ -126,10 +94,11 @@
     const previous = this.listed.get(target.name);
     this.heldEntries.delete(target.name);
     this.lapsedEntries.delete(target.name);
-    this.listed.set(target.name, target);
-    this.removePredecessors(target);
     const isNewProcess = previous?.born !== target.born;
     if (isNewProcess) this.observations.delete(target.name);
+    const observations = this.getObservations(target.name);
+    this.listed.set(target.name, new ObservedTarget(target, observations, this.clock));
+    this.removePredecessors(target);
     if (isNewProcess || previous.state !== target.state)
       this.logger.info("target listed", {
         target: target.name,
@@ -202,14 +171,7 @@
   }
 
   get(name: string): Target | undefined {
-    const target = this.listed.get(name);
-    if (target === undefined) return undefined;
-    const observations = this.getObservations(name);
-    return {
-      ...target,
-      ...observations,
-      prefillTokensPerMillisecond: observations.prefillRate.rate(this.clock.monotonicTime()),
-    };
+    return this.listed.get(name);
   }
 
   /// Returns whether a target is listed and not leaving.
@@ -220,10 +182,7 @@
   /// Returns all listed targets of a service.
   getListedTargets(service: string): Target[] {
     const targets: Target[] = [];
-    for (const { name, service: targetService } of this.listed.values()) {
-      const target = targetService === service ? this.get(name) : undefined;
-      if (target !== undefined) targets.push(target);
-    }
+    for (const target of this.listed.values()) if (target.service === service) targets.push(target);
     return targets;
   }
 
@@ -240,8 +199,9 @@
 
   /// Returns the target of a declared service that listens on `address`, given as `host:port`.
   findByAddress(address: string): Target | undefined {
-    for (const { name, service, host, port } of this.listed.values()) {
-      if (`${host}:${port}` === address && this.isDeclared(service)) return this.get(name);
+    for (const target of this.listed.values()) {
+      const { service, host, port } = target;
+      if (`${host}:${port}` === address && this.isDeclared(service)) return target;
     }
     return undefined;
   }
@@ -354,17 +314,7 @@
   private getObservations(name: string): TargetObservations {
     const existing = this.observations.get(name);
     if (existing !== undefined) return existing;
-    const initial: TargetObservations = {
-      openRequests: 0,
-      openTokens: 0,
-      prefillRate: new DecayingRate(prefillRateWindow),
-      suspectedUntil: -Infinity,
-      refusingUntil: -Infinity,
-      peerSuspectedUntil: -Infinity,
-      consecutiveRefusals: 0,
-      consecutiveFailures: 0,
-      load: 0,
-    };
+    const initial = new TargetObservations();
     this.observations.set(name, initial);
     return initial;
   }
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -17,6 +17,7 @@
 import http from "node:http";
 import { CallerServer, type CallerServerServices } from "./caller-server.js";
 import { ReplicatedState } from "./replicated-state.js";
+import { DelayMonitor } from "./delay-monitor.js";
 import { EntryMetrics } from "./metrics.js";
 import { refuseOwnAddresses } from "./own-addresses.js";
 import { Peers } from "./peers.js";
@@ -83,7 +84,7 @@
     peers.triggerExchange();
   };
   replicatedState.shouldFollowDirectly = () =>
-    peers.isAmongFirst(directFeedRole, directFollowersPerDataCentre);
+    peers.directory.isAmongFirst(directFeedRole, directFollowersPerDataCentre);
   const gracefulStop = new GracefulStop(dependencies.limits, clock, logger);
   const services: CallerServerServices = {
     clock,
@@ -98,10 +99,10 @@
     crashReporter: new CrashReporter(engines, quarantine, clock, logger),
     quarantine,
     requestLimiter,
-    holdsTrial: (part) => peers.hasRole(`trial of ${part}`),
+    holdsTrial: (part) => peers.directory.hasRole(`trial of ${part}`),
     dataCentre: identity.dataCentre,
-    entryVmCount: () => peers.countEntryVms(),
-    localEntryVmCount: () => peers.countLocalEntryVms(),
+    entryVmCount: () => peers.directory.count(),
+    localEntryVmCount: () => peers.directory.countLocal(),
     formatPath: dependencies.formatPath,
     replicatedState,
     metrics,
@@ -136,7 +137,7 @@
   metrics.addGauge(
     "entry_vms_live",
     "Entry VMs heard of lately",
-    () => peers.findLiveEntryVms().length,
+    () => peers.directory.findLive().length,
   );
 
   metrics.addGauge("store_era", "Era of the store", () => dependencies.store.era.current);
@@ -208,6 +209,9 @@
       signal,
     ),
   );
+  const delays = new DelayMonitor(logger, (delay) => {
+    metrics.recordDelay(delay / 1_000);
+  });
   runTask("maintenance", async (signal) => {
     let wasDirect = true;
     while (!signal.aborted) {
@@ -217,7 +221,9 @@
       if (isDirect !== wasDirect) logger.info("store feed", { followsClosely: isDirect });
       wasDirect = isDirect;
       if (replicatedState.routes !== undefined) callerServer.applyLimits(replicatedState.routes);
+      const due = clock.monotonicTime() + maintenanceInterval;
       await clock.sleep(maintenanceInterval, signal);
+      delays.recordTurn(due, clock.monotonicTime());
     }
   });
   logger.info("started", { dataCentre: identity.dataCentre });
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -4,6 +4,8 @@
 
 // In seconds, from a plain call within one data centre to the longest answers.
 const latencyBuckets = [0.005, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 5, 10, 20];
+// In seconds, from the usual lateness of a timer to a process that was paused.
+const delayBuckets = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
 export class EntryMetrics {
   readonly registry = new Registry();
@@ -38,6 +40,13 @@
     registers: [this.registry],
   });
 
+  private readonly delays = new Histogram({
+    name: "lovagebend_process_delay_seconds",
+    help: "How late periodic work of the process began",
+    buckets: delayBuckets,
+    registers: [this.registry],
+  });
+
   /// Counts an answer whose first byte was sent `seconds` after the request arrived.
   recordAnswer(kind: string, status: number, seconds: number): void {
     this.answers.inc({ route_kind: kind, status });
@@ -60,6 +69,11 @@
     this.eraChanges.inc();
   }
 
+  /// Counts periodic work that began `seconds` late.
+  recordDelay(seconds: number): void {
+    this.delays.observe(seconds);
+  }
+
   /// Adds a gauge whose value is read whenever the metrics are collected.
   addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -4,7 +4,6 @@
 import {
   exchangeJson,
   parseJsonText,
-  rankByRendezvousHash,
   validate,
   type Clock,
   type Logger,
@@ -27,6 +26,7 @@
   type JSONRPCResponse,
 } from "json-rpc-2.0";
 import * as z from "zod";
+import { EntryVmDirectory } from "./entry-vm-directory.js";
 import { keepOwnRows } from "./own-rows.js";
 import type { ReplicatedState } from "./replicated-state.js";
 import { factKeys, readPeerMessage, readVmFact } from "./peer-message-schema.js";
@@ -42,8 +42,6 @@
 // Changes reach 90 entry VMs in about seven rounds of triggered exchanges.
 const minimumTriggerInterval: Milliseconds = 150;
 const publishInterval: Milliseconds = 1_000;
-// Facts are published each second and reach all entry VMs within a few exchanges.
-const maximumLiveAge: Milliseconds = 3_500;
 // Peers in the same data centre answer sooner and stay reachable during a network partition
 // between data centres.
 const localExchangeShare = 0.6;
@@ -70,6 +68,8 @@
 }
 
 export class Peers {
+  /// The entry VMs that are known by gossip.
+  readonly directory: EntryVmDirectory;
   private readonly gossip: GossipState;
   private readonly server = new JSONRPCServer({
     errorListener: (message, data) => {
@@ -80,7 +80,6 @@
   private publishedAt: Milliseconds = -Infinity;
   private triggeredAt: Milliseconds = -Infinity;
   private sleepAbort = new AbortController();
-  private isStopping = false;
 
   constructor(
     private readonly identity: EntryIdentity,
@@ -93,6 +92,7 @@
   ) {
     // Versions start at the wall clock, which is later at each restart of the same entry VM.
     this.gossip = new GossipState(identity.name, clock.wallClockTime(), factLifetime);
+    this.directory = new EntryVmDirectory(identity, this.gossip, clock);
     this.server.addMethod(exchangeMethod, (message: unknown) =>
       this.handleExchange(this.readMessage(message, "caller")),
     );
@@ -105,50 +105,6 @@
     return this.server.receive({ ...call.value, id: call.value.id ?? null });
   }
 
-  /// The names of the entry VMs that are live and not stopping, including this one; sorted.
-  findLiveEntryVms(): string[] {
-    const names = this.findVmFacts()
-      .filter(({ age, value }) => age <= maximumLiveAge && !value.isStopping)
-      .map(({ owner }) => owner);
-    return [...new Set([...names, ...(this.isStopping ? [] : [this.identity.name])])].sort();
-  }
-
-  /// The number of entry VMs. Includes those whose facts are a few seconds old, because they
-  /// continue to serve on the other side of a network partition.
-  countEntryVms(): number {
-    return new Set([...this.findVmFacts().map(({ owner }) => owner), this.identity.name]).size;
-  }
-
-  /// The number of live entry VMs in this data centre, including this one.
-  countLocalEntryVms(): number {
-    const localPeers = this.findVmFacts().filter(
-      ({ age, owner, value }) =>
-        age <= maximumLiveAge &&
-        owner !== this.identity.name &&
-        value.dataCentre === this.identity.dataCentre,
-    );
-    return localPeers.length + 1;
-  }
-
-  /// Whether this entry VM ranks among the first `count` of its data centre for `role`, by
-  /// rendezvous hashing.
-  isAmongFirst(role: string, count: number): boolean {
-    const localPeers = this.findPeerFacts()
-      .filter(({ age, value }) => age <= maximumLiveAge && !value.isStopping)
-      .filter(({ value }) => value.dataCentre === this.identity.dataCentre)
-      .map(({ owner }) => owner);
-    if (localPeers.length < count) return true;
-    return rankByRendezvousHash(role, [...localPeers, this.identity.name])
-      .slice(0, count)
-      .includes(this.identity.name);
-  }
-
-  /// Whether this entry VM holds `role`, by rendezvous hashing over the live entry VMs. Each
-  /// entry VM decides from its own view, so that two may hold the role for a while.
-  hasRole(role: string): boolean {
-    return this.findRoleHolder(role) === this.identity.name;
-  }
-
   /// Calls `method` of the entry VM that holds `role`, or `own` if this entry VM holds it.
   /// Returns `undefined` if the holder does not answer within `timeout`.
   async callRoleHolder(
@@ -158,17 +114,13 @@
     timeout: Milliseconds,
     own: () => unknown,
   ): Promise<unknown> {
-    const holder = this.findRoleHolder(role);
+    const holder = this.directory.findRoleHolder(role);
     if (holder === this.identity.name) return own();
-    const fact = this.findPeerFacts().find(({ owner }) => owner === holder);
+    const fact = this.directory.listPeers().find(({ owner }) => owner === holder);
     if (fact === undefined) return undefined;
     return this.call(fact.value.address, method, parameters, AbortSignal.timeout(timeout));
   }
 
-  private findRoleHolder(role: string): string | undefined {
-    return rankByRendezvousHash(role, this.findLiveEntryVms())[0];
-  }
-
   /// The targets that some entry VM suspects, according to recent gossip.
   findSuspectedTargets(): string[] {
     return this.gossip
@@ -224,7 +176,7 @@
   /// Marks this entry VM as stopping in its next published fact, so that peers no longer
   /// assign it a role.
   stop(): void {
-    this.isStopping = true;
+    this.directory.stop();
     this.publishedAt = -Infinity;
   }
 
@@ -437,27 +389,12 @@
 
   private describeSelf(): VmFact {
     const { peers, dataCentre } = this.identity;
-    return { address: `${peers.host}:${peers.port}`, dataCentre, isStopping: this.isStopping };
-  }
-
-  private findVmFacts() {
-    return this.gossip
-      .facts(factKeys.vm, this.clock.monotonicTime())
-      .map(({ owner, age, value }) => ({ owner, age, value: value as VmFact }));
-  }
-
-  private findPeerFacts(): {
-    readonly owner: string;
-    readonly age: Milliseconds;
-    readonly value: VmFact;
-  }[] {
-    return this.findVmFacts().filter(({ owner }) => owner !== this.identity.name);
+    const { isStopping } = this.directory;
+    return { address: `${peers.host}:${peers.port}`, dataCentre, isStopping };
   }
 
   private chooseLivePeer(): string | undefined {
-    const live = this.findPeerFacts().filter(
-      ({ age, value }) => age <= maximumLiveAge && !value.isStopping,
-    );
+    const live = this.directory.listLivePeers().filter(({ value }) => !value.isStopping);
     const local = live.filter(({ value }) => value.dataCentre === this.identity.dataCentre);
     const pool = local.length > 0 ? local : live;
     return pool[Math.floor(Math.random() * pool.length)]?.value.address;
@@ -465,8 +402,8 @@
 
   private chooseExchangePeer(): string | undefined {
     const ownAddress = this.describeSelf().address;
-    const peerFacts = this.findPeerFacts();
-    const live = peerFacts.filter(({ age }) => age <= maximumLiveAge).map(({ value }) => value);
+    const peerFacts = this.directory.listPeers();
+    const live = this.directory.listLivePeers().map(({ value }) => value);
     const local = live.filter(({ dataCentre }) => dataCentre === this.identity.dataCentre);
     const share =
       local.length >= manyLocalPeersMinimum ? localExchangeShareWithManyPeers : localExchangeShare;
--- a/packages/entry/src/place-layers.ts
+++ b/packages/entry/src/place-layers.ts
@@ -42,7 +42,7 @@
   await clock.sleep(discoveryDelay, signal);
   while (!signal.aborted) {
     await clock.sleep(placementInterval, signal);
-    if (!peers.hasRole(placementRole)) continue;
+    if (!peers.directory.hasRole(placementRole)) continue;
     const models = [...(replicatedState.routes?.services.values() ?? [])].flatMap(
       ({ name, model }) =>
         model === undefined
--- a/packages/entry/src/retry-loans.ts
+++ b/packages/entry/src/retry-loans.ts
@@ -29,12 +29,12 @@
   peers.registerMethod(lendMethod, (parameters) => {
     const request = validate(requestSchema, parameters);
     if (request.isErr) return 0;
-    return budget.lend(request.value.service, peers.countEntryVms(), clock.monotonicTime());
+    return budget.lend(request.value.service, peers.directory.count(), clock.monotonicTime());
   });
   while (!signal.aborted) {
     await clock.sleep(borrowInterval, signal);
     for (const service of budget.findServicesRunningShort(
-      peers.countEntryVms(),
+      peers.directory.count(),
       clock.monotonicTime(),
     )) {
       const requestedAt = clock.monotonicTime();
--- a/packages/entry/src/review-quarantine.ts
+++ b/packages/entry/src/review-quarantine.ts
@@ -59,7 +59,7 @@
   const listRows = (): OwnRow[] =>
     quarantine
       .listVerdicts()
-      .filter(({ part }) => peers.hasRole(`verdict on ${part}`))
+      .filter(({ part }) => peers.directory.hasRole(`verdict on ${part}`))
       .map(({ part, generation, state, at }) => {
         const wallClockTime = clock.wallClockTime() - (clock.monotonicTime() - at);
         const verdict = { generation, state, at: Math.round(wallClockTime) };
