Follow the store with two entry VMs a data centre, and rely on them for a bounded time

And an entry VM whose followers fell silent went on with an old list for up to six seconds, more than any deployment allows.

Change: every reply of a peer states how old its view of each table is. StoreViewAge keeps the age of the own view; from a reply it counts from the time of asking, so that a process that was paused does not take an old answer for a new one. An entry VM that is not among the followers asks the store only when its view is older than the deployment's bound (drain_ms, config_apply_ms) less half a second. Two follow in a data centre with more than three entry VMs; a view older than a follower's poll is refreshed at a follower in three of ten exchanges. How long a poll waits follows from the same bound.

--- a/packages/entry/src/entry-dependencies.ts
+++ b/packages/entry/src/entry-dependencies.ts
@@ -37,6 +37,8 @@
   readonly retryBudget: SharedRetryBudgetOptions;
   readonly shutdownTimeout: Milliseconds;
   readonly drainDelay: Milliseconds;
+  /// The time from a change in the store until it must be in force here.
+  readonly propagationTime: Milliseconds;
 }
 
 /// The tables of the store. `document` holds the operator's document under the key
--- a/packages/entry/src/entry-vm-directory.ts
+++ b/packages/entry/src/entry-vm-directory.ts
@@ -98,12 +98,10 @@
     return this.derive().localPeerCount + 1;
   }
 
-  /// Whether this entry VM ranks among the first `count` of its data centre for `role`, by
-  /// rendezvous hashing.
-  isAmongFirst(role: string, count: number): boolean {
-    const { localNames } = this.derive();
-    if (localNames.length <= count) return true;
-    return this.localRankings.rank(role, localNames).slice(0, count).includes(this.identity.name);
+  /// The live entry VMs of this data centre that are not stopping, and this one, in the order in
+  /// which they take `role`, by rendezvous hashing.
+  rankLocal(role: string): readonly string[] {
+    return this.localRankings.rank(role, this.derive().localNames);
   }
 
   /// Whether this entry VM holds `role`, by rendezvous hashing over the live entry VMs. Each
--- a/packages/entry/src/peer-message-schema.ts
+++ b/packages/entry/src/peer-message-schema.ts
@@ -23,6 +23,7 @@
   .refine((name) => !(name in Object.prototype), "a name");
 const versionSchema = z.number().int().min(-1);
 const durationSchema = z.number().min(0);
+const viewAgesSchema = z.object({ document: durationSchema, targets: durationSchema });
 const factVersionSchema = z.number().int().nonnegative().max(maximumFactVersion);
 const factSchema = z.object({
   owner: nameSchema,
@@ -57,6 +58,7 @@
   lapseGrace: z.unknown(),
   histories: z.unknown().optional(),
   settings: z.unknown().optional(),
+  viewAges: z.unknown().optional(),
 });
 
 const unknownVersions: TableVersions = { document: -1, targets: -1 };
@@ -99,6 +101,7 @@
         versions: areTablesValid ? versions : unknownVersions,
         histories,
         settings,
+        viewAges: readOptional("ages of views", viewAgesSchema, envelope.viewAges),
         facts,
         rows: {
           document: readRows(envelope.rows.document),
--- a/packages/entry/src/peer-message.ts
+++ b/packages/entry/src/peer-message.ts
@@ -54,6 +54,13 @@
     { readonly document: TableHistory; readonly targets: TableHistory } | undefined;
   readonly settings?: SettingsInForce | undefined;
   readonly quarantine?: QuarantineExchange;
+  /// The ages of the sender's views of the two tables; missing before it has views of both.
+  readonly viewAges?: ViewAges | undefined;
+}
+
+export interface ViewAges {
+  readonly document: Milliseconds;
+  readonly targets: Milliseconds;
 }
 
 /// The fact that an entry VM publishes about itself.
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -30,7 +30,14 @@
 import { keepOwnRows } from "./own-rows.js";
 import type { ReplicatedState } from "./replicated-state.js";
 import { factKeys, readPeerMessage, readVmFact } from "./peer-message-schema.js";
-import { describeTables, readTables, type PeerMessage, type VmFact } from "./peer-message.js";
+import {
+  describeTables,
+  readTables,
+  type PeerMessage,
+  type ViewAges,
+  type VmFact,
+} from "./peer-message.js";
+import { StoreFollowers } from "./store-followers.js";
 import type { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { EntryIdentity } from "./entry-dependencies.js";
 
@@ -50,6 +57,10 @@
 const manyLocalPeersMinimum = 8;
 const localExchangeShareWithManyPeers = 0.9;
 const explorationShare = 0.2;
+// A view that is older than a follower's poll takes has newer ones beside it. Larger shares would make
+// followers busy without making views younger.
+const recentViewMargin: Milliseconds = 200;
+const followerExchangeShare = 0.3;
 const exchangeMethod = "exchange";
 const maximumLoggedFaults = 5;
 const callSchema = z.looseObject({
@@ -70,6 +81,8 @@
 export class Peers {
   /// The entry VMs that are known by gossip.
   readonly directory: EntryVmDirectory;
+  /// Those that follow the store for the others in this data centre.
+  readonly followers: StoreFollowers;
   private readonly gossip: GossipState;
   private readonly server = new JSONRPCServer({
     errorListener: (message, data) => {
@@ -93,6 +106,7 @@
     // Versions start at the wall clock, which is later at each restart of the same entry VM.
     this.gossip = new GossipState(identity.name, clock.wallClockTime(), factLifetime);
     this.directory = new EntryVmDirectory(identity, this.gossip, clock);
+    this.followers = new StoreFollowers(identity.name, this.directory);
     this.server.addMethod(exchangeMethod, (message: unknown) =>
       this.handleExchange(this.readMessage(message, "caller")),
     );
@@ -242,8 +256,10 @@
         settings: undefined,
       };
       const ownMessage = this.composeMessage(unknown, [this.identity.name]);
+      const askedAt = this.clock.monotonicTime();
       const reply = this.readMessage(await client.request(exchangeMethod, ownMessage), address);
       const quarantine = this.mergeMessage(reply, address);
+      this.recordViews(reply, askedAt);
       const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
       if (!this.hasNewerStateThan(reply) && !differs) return;
       const ownReply = this.composeMessage({ ...this.readReceiverState(reply), quarantine });
@@ -275,6 +291,18 @@
     return this.composeMessage({ ...this.readReceiverState(message), quarantine });
   }
 
+  // Only replies count: a message that was not asked for may have waited here for any time.
+  private recordViews(reply: PeerMessage, askedAt: Milliseconds): void {
+    const { viewAges } = reply;
+    if (viewAges === undefined) return;
+    const { document, targets } = this.readReceiverState(reply);
+    const views = [
+      { table: "document", age: viewAges.document, revision: document },
+      { table: "targets", age: viewAges.targets, revision: targets },
+    ] as const;
+    for (const view of views) this.replicatedState.recordPeerView({ ...view, askedAt });
+  }
+
   // Returns the message's part on the quarantine if it is valid.
   private mergeMessage(message: PeerMessage, peer: string): QuarantineExchange | undefined {
     if (this.gossip.riseAbove(message.digest)) {
@@ -335,6 +363,7 @@
         value: this.findDocumentFor(receiver)?.toString("base64") ?? null,
       },
       lapseGrace: this.replicatedState.targetRegistry.getRemainingGrace(),
+      viewAges: this.describeViewAges(),
       quarantine: this.quarantine.composeExchange(receiver.quarantine, now),
     };
   }
@@ -393,6 +422,23 @@
     return { address: `${peers.host}:${peers.port}`, dataCentre, isStopping };
   }
 
+  private describeViewAges(): ViewAges | undefined {
+    const document = this.replicatedState.getViewAge("document");
+    const targets = this.replicatedState.getViewAge("targets");
+    if (!Number.isFinite(document + targets)) return undefined;
+    return { document: Math.ceil(document), targets: Math.ceil(targets) };
+  }
+
+  // Returns a follower of the store in this data centre if the own view of the store is not recent.
+  private chooseFollower(): string | undefined {
+    const recentAge = this.replicatedState.targetPollTimeout + recentViewMargin;
+    if (this.replicatedState.getViewAge("targets") < recentAge) return undefined;
+    const followers = this.followers.list().filter((name) => name !== this.identity.name);
+    const chosen = followers[Math.floor(Math.random() * followers.length)];
+    const fact = this.directory.listLivePeers().find(({ owner }) => owner === chosen);
+    return fact?.value.address;
+  }
+
   private chooseLivePeer(): string | undefined {
     const live = this.directory.listLivePeers().filter(({ value }) => !value.isStopping);
     const local = live.filter(({ value }) => value.dataCentre === this.identity.dataCentre);
@@ -401,6 +447,8 @@
   }
 
   private chooseExchangePeer(): string | undefined {
+    const follower = this.chooseFollower();
+    if (follower !== undefined && Math.random() < followerExchangeShare) return follower;
     const ownAddress = this.describeSelf().address;
     const peerFacts = this.directory.listPeers();
     const live = this.directory.listLivePeers().map(({ value }) => value);
--- a/packages/entry/test/feeds.test.ts
+++ b/packages/entry/test/feeds.test.ts
@@ -6,6 +6,7 @@
 import t from "tap";
 import type { EntryDependencies } from "../src/index.js";
 import { ReplicatedState } from "../src/replicated-state.js";
+import { entryLimits } from "./entry-limits.js";
 import { ScriptedStore } from "./scripted-store.js";
 import { VirtualClock } from "./virtual-clock.js";
 
@@ -24,6 +25,7 @@
     clock,
     logger,
     store,
+    limits: entryLimits,
     tables: {
       document: "op",
       documentKey: "config",
--- a/packages/entry/test/lapsed-entries.test.ts
+++ b/packages/entry/test/lapsed-entries.test.ts
@@ -8,6 +8,7 @@
 import t, { type Test } from "tap";
 import type { EntryDependencies } from "../src/index.js";
 import { ReplicatedState } from "../src/replicated-state.js";
+import { entryLimits } from "./entry-limits.js";
 import { Outage, ScriptedStore } from "./scripted-store.js";
 import { VirtualClock } from "./virtual-clock.js";
 
@@ -44,6 +45,7 @@
     clock,
     logger,
     store,
+    limits: entryLimits,
     tables: {
       document: "op",
       documentKey: "config",
--- a/packages/entry/test/scripted-store.ts
+++ b/packages/entry/test/scripted-store.ts
@@ -25,6 +25,8 @@
 const discard = (): undefined => undefined;
 
 export class ScriptedStore implements RowStore {
+  /// The number of reads and polls so far.
+  callCount = 0;
   readonly era = new StoreEra({ info: discard, warn: discard, error: discard });
   private rows: (StoredRow & { readonly table: string })[] = [];
   private version = 0;
@@ -47,6 +49,7 @@
   }
 
   async readTable(table: string): Promise<Result<TableSnapshot, string>> {
+    this.callCount += 1;
     const failure = await this.failDuringOutage(0);
     if (failure !== undefined) return Result.err(failure);
     const rows = this.rows.filter((row) => row.table === table && row.value !== undefined);
@@ -59,6 +62,7 @@
     timeout: Milliseconds,
     signal: AbortSignal,
   ): Promise<Result<ChangeFeedResult, string>> {
+    this.callCount += 1;
     const requestedAt = this.clock.monotonicTime();
     const { outageCount } = this;
     for (;;) {
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -4,7 +4,7 @@
 import { runDetached, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
 import { merge, NEVER, Observable } from "rxjs";
 import { isLater, type Revision } from "./revision.js";
-import type { RowStore, StoredRow } from "./row-store.js";
+import type { ChangeFeedResult, RowStore, StoredRow } from "./row-store.js";
 
 /// `whole`: all rows of the table; any other row was removed. It replaces a later state if
 /// `replacesLater`, since that one cannot be the store's. `rows`: the rows that changed since the
@@ -32,6 +32,12 @@
   readonly knownRevision: () => Revision;
   /// When it emits, a poll that waits for a change is repeated over another connection.
   readonly pollRepeats?: Observable<unknown>;
+  /// How long the store need not be asked, because other entry VMs pass its changes on. Evaluated
+  /// before each poll; has no effect before the first snapshot and during an outage.
+  readonly pause?: () => Milliseconds;
+  /// Called after each answer of the store has been emitted. All changes that the store had
+  /// acknowledged at `time`, of the monotonic clock, have been emitted.
+  readonly recordCurrent?: (time: Milliseconds) => void;
 }
 
 /// How often the store is polled for changes.
@@ -51,10 +57,13 @@
 const initialRetryDelay: Milliseconds = 100;
 const maximumRetryDelay: Milliseconds = 1_000;
 
-// The timeout of the first long poll after an outage. A longer poll would show only at the
-// next change that the store is available again, and that time decides how long entries
-// that lapsed during the outage may still return.
-const recoveryPollTimeout: Milliseconds = 100;
+// The shortest timeout of a poll, and that of the first poll after an outage. A longer one would
+// show only at the next change that the store is available again, and that time decides how long
+// entries that lapsed during the outage may still return.
+const shortPollTimeout: Milliseconds = 100;
+
+// A pause may end early, for example when an entry VM starts to follow the store closely.
+const maximumPause: Milliseconds = 500;
 
 // A read may lag behind what peers know. A state that is still later after this time is not one
 // of the store.
@@ -88,6 +97,7 @@
   let retryDelay = initialRetryDelay;
   let isUnavailable = false;
   let behindSince: Milliseconds | undefined;
+  let currentAt: Milliseconds = Infinity;
   let batchingDelay = readTiming().minimumBatchingDelay;
   let interruption = new AbortController();
   const interrupts = merge(options.pollRepeats ?? NEVER, store.era.changes).subscribe(() => {
@@ -100,6 +110,16 @@
     const known = knownRevision();
     if (reached !== undefined && isLater(known, reached)) reached = known;
     if (reached !== undefined && reached.era < store.era.current) reached = undefined;
+    const pause = reached === undefined || isUnavailable ? 0 : (options.pause?.() ?? 0);
+    if (pause > 0) {
+      const interrupted = AbortSignal.any([signal, interruption.signal]);
+      await clock.sleep(Math.min(Math.ceil(pause), maximumPause), interrupted);
+      continue;
+    }
+    // A poll that returned rows early, but may have been read late, confirms the state before it
+    // only. The next one is shorter, so that the state is confirmed at the usual intervals.
+    const remaining = isUnavailable ? 0 : currentAt + longPollTimeout - requestedAt;
+    const pollTimeout = Math.min(longPollTimeout, Math.max(remaining, shortPollTimeout));
     const outcome =
       reached === undefined
         ? (await store.readTable(table)).map((snapshot) => ({
@@ -109,7 +129,7 @@
         : await store.waitForChanges(
             table,
             reached.version,
-            isUnavailable ? Math.min(longPollTimeout, recoveryPollTimeout) : longPollTimeout,
+            pollTimeout,
             AbortSignal.any([signal, interruption.signal]),
           );
     if (reached !== undefined && interruption.signal.aborted) continue;
@@ -149,7 +169,10 @@
         reached = { era: change.era, version: change.version };
         break;
     }
-    const isBurst = clock.monotonicTime() - requestedAt < batchingDelay;
+    currentAt =
+      requestedAt + getWaitedTime(change, clock.monotonicTime() - requestedAt, pollTimeout);
+    options.recordCurrent?.(currentAt);
+    const isBurst = !isEmptyPoll(change) && clock.monotonicTime() - requestedAt < batchingDelay;
     batchingDelay = isBurst
       ? Math.min(maximumBatchingDelay, Math.max(minimumBatchingDelay, batchingDelay * 2))
       : minimumBatchingDelay;
@@ -157,3 +180,19 @@
   }
   interrupts.unsubscribe();
 }
+
+type StoreAnswer = ChangeFeedResult | { readonly kind: "whole" };
+
+function isEmptyPoll(answer: StoreAnswer): boolean {
+  return answer.kind === "changed" && answer.rows.length === 0;
+}
+
+// How long the store had waited for changes when it composed an answer, at least. It answers a poll
+// without changes at the end of its timeout. The answer itself may have been read much later.
+function getWaitedTime(
+  answer: StoreAnswer,
+  elapsed: Milliseconds,
+  pollTimeout: Milliseconds,
+): Milliseconds {
+  return isEmptyPoll(answer) ? Math.min(elapsed, pollTimeout) : 0;
+}
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -206,6 +206,20 @@
   t.same(sleeps.slice(0, 4), [200, 400, 400, 400]);
 });
 
+// Guards against changes that arrive late because short polls without changes were taken for a burst.
+t.test("polls without changes do not lengthen the delay between polls", async (t) => {
+  const { sleeps } = await collectChanges(
+    [
+      Result.ok({ rows: [], version: 1, era: 0 }),
+      Result.ok({ kind: "changed", rows: [], version: 1, era: 0 }),
+      Result.ok({ kind: "changed", rows: [], version: 1, era: 0 }),
+      Result.ok({ kind: "changed", rows: [row("a", 2)], version: 2, era: 0 }),
+    ],
+    2,
+  );
+  t.same(sleeps.slice(0, 4), [200, 100, 100, 200]);
+});
+
 t.test("a replica keeps the latest version of each row from any source", (t) => {
   const replica = new TableReplica();
   t.equal(replica.revision.version, -1, "the version is -1 before the first update");
