Ask the store with timeouts in whole milliseconds

Cause: since the change of followers a poll after one that returned rows is shorter, by a difference of two times of the monotonic clock.

The new test of the feed fails without the change (its timeouts are fractions).

--- a/packages/entry/src/peer-message-schema.ts
+++ b/packages/entry/src/peer-message-schema.ts
@@ -59,6 +59,8 @@
   histories: z.unknown().optional(),
   settings: z.unknown().optional(),
   viewAges: z.unknown().optional(),
+  withoutDocument: z.unknown().optional(),
+  defersDocument: z.unknown().optional(),
 });
 
 const unknownVersions: TableVersions = { document: -1, targets: -1 };
@@ -101,6 +103,8 @@
         versions: areTablesValid ? versions : unknownVersions,
         histories,
         settings,
+        withoutDocument: readOptional("no document", z.boolean(), envelope.withoutDocument),
+        defersDocument: readOptional("deferral", z.boolean(), envelope.defersDocument),
         viewAges: readOptional("ages of views", viewAgesSchema, envelope.viewAges),
         facts,
         rows: {
--- a/packages/entry/src/peer-message.ts
+++ b/packages/entry/src/peer-message.ts
@@ -54,6 +54,10 @@
     { readonly document: TableHistory; readonly targets: TableHistory } | undefined;
   readonly settings?: SettingsInForce | undefined;
   readonly quarantine?: QuarantineExchange;
+  /// Whether a document that the receiver lacks has been left out, whatever the versions say.
+  readonly withoutDocument?: boolean | undefined;
+  /// Whether the reply is to leave such a document out, because the sender does not wait for it.
+  readonly defersDocument?: boolean | undefined;
   /// The ages of the sender's views of the two tables; missing before it has views of both.
   readonly viewAges?: ViewAges | undefined;
 }
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -4,6 +4,7 @@
 import {
   exchangeJson,
   parseJsonText,
+  runDetached,
   validate,
   type Clock,
   type Logger,
@@ -11,13 +12,7 @@
 } from "@lovagebend/common";
 import { GossipState, type GossipDigest } from "@lovagebend/membership";
 import type { PromptQuarantine, QuarantineExchange } from "@lovagebend/quarantine";
-import {
-  isLater,
-  type Revision,
-  type RowStore,
-  type StoreEra,
-  type TableTransfer,
-} from "@lovagebend/store";
+import { type Revision, type RowStore, type StoreEra, type TableTransfer } from "@lovagebend/store";
 import {
   createJSONRPCErrorResponse,
   JSONRPCClient,
@@ -46,6 +41,9 @@
 const factLifetime: Milliseconds = 15_000;
 const exchangeInterval: Milliseconds = 400;
 const exchangeTimeout: Milliseconds = 400;
+// A document with many routes takes some 100 ms on the link of the smallest VM, which other messages
+// share, and as long on its processor.
+const documentTimeout: Milliseconds = 2_000;
 // Changes reach 90 entry VMs in about seven rounds of triggered exchanges.
 const minimumTriggerInterval: Milliseconds = 150;
 const publishInterval: Milliseconds = 1_000;
@@ -78,6 +76,13 @@
   readonly quarantine?: QuarantineExchange | undefined;
 }
 
+interface MessageOptions {
+  /// Of all facts, only those of these owners are sent.
+  readonly onlyOwners?: readonly string[];
+  readonly withoutDocument?: boolean;
+  readonly defersDocument?: boolean;
+}
+
 export class Peers {
   /// The entry VMs that are known by gossip.
   readonly directory: EntryVmDirectory;
@@ -93,6 +98,7 @@
   private publishedAt: Milliseconds = -Infinity;
   private triggeredAt: Milliseconds = -Infinity;
   private sleepAbort = new AbortController();
+  private isTransferringDocument = false;
 
   constructor(
     private readonly identity: EntryIdentity,
@@ -229,13 +235,17 @@
     }
   }
 
-  private createClient(address: string, signal: AbortSignal): JSONRPCClient {
+  private createClient(
+    address: string,
+    signal: AbortSignal,
+    timeout = exchangeTimeout,
+  ): JSONRPCClient {
     const client = new JSONRPCClient(async (payload) => {
       const reply = await exchangeJson({
         url: `http://${address}/`,
         method: "POST",
         body: payload,
-        timeout: exchangeTimeout,
+        timeout,
         signal,
       });
       if (reply.isErr) throw new Error(reply.error.reason);
@@ -245,29 +255,67 @@
   }
 
   private async exchangeWith(address: string, signal: AbortSignal): Promise<void> {
-    const client = this.createClient(address, signal);
+    const { document, targets } = this.replicatedState.replicas;
+    // The peer's state is not known yet, so that it is sent none.
+    const unknown = {
+      digest: {},
+      document: document.revision,
+      targets: targets.revision,
+      settings: undefined,
+    };
+    const opening = this.composeMessage(unknown, {
+      onlyOwners: [this.identity.name],
+      defersDocument: true,
+    });
+    const reply = await this.callExchange(address, opening, signal);
+    if (reply === undefined) return;
+    const { message, quarantine } = reply;
+    const receiver = { ...this.readReceiverState(message), quarantine };
+    const isOlderVersion = message.withoutDocument === undefined;
+    const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
+    const hasDocument = this.hasDocumentFor(receiver);
+    if (this.hasTargetsFor(receiver) || differs || (isOlderVersion && hasDocument)) {
+      const options = { withoutDocument: !isOlderVersion, defersDocument: true };
+      await this.callExchange(address, this.composeMessage(receiver, options), signal);
+    }
+    if (message.withoutDocument === true || (!isOlderVersion && hasDocument))
+      this.startDocumentTransfer(address, receiver, signal);
+  }
+
+  // Documents may be large. They are exchanged apart from the frequent messages, whose timeout is
+  // short because a silent peer must not hold them up, and one at a time.
+  private startDocumentTransfer(
+    address: string,
+    receiver: ReceiverState,
+    signal: AbortSignal,
+  ): void {
+    if (this.isTransferringDocument) return;
+    this.isTransferringDocument = true;
+    const message = this.composeMessage(receiver);
+    const transfer = this.callExchange(address, message, signal, documentTimeout).finally(() => {
+      this.isTransferringDocument = false;
+    });
+    runDetached(this.logger, "document transfer", transfer);
+  }
+
+  // Sends `message` and merges the reply. Returns `undefined` if there is no valid one.
+  private async callExchange(
+    address: string,
+    message: PeerMessage,
+    signal: AbortSignal,
+    timeout = exchangeTimeout,
+  ): Promise<{ message: PeerMessage; quarantine: QuarantineExchange | undefined } | undefined> {
+    const client = this.createClient(address, signal, timeout);
+    const askedAt = this.clock.monotonicTime();
     try {
-      const { document, targets } = this.replicatedState.replicas;
-      // The peer's state is not known yet, so that it is sent none.
-      const unknown = {
-        digest: {},
-        document: document.revision,
-        targets: targets.revision,
-        settings: undefined,
-      };
-      const ownMessage = this.composeMessage(unknown, [this.identity.name]);
-      const askedAt = this.clock.monotonicTime();
-      const reply = this.readMessage(await client.request(exchangeMethod, ownMessage), address);
-      const quarantine = this.mergeMessage(reply, address);
+      const reply = this.readMessage(await client.request(exchangeMethod, message), address);
+      const quarantine = this.mergeMessage(reply, address, true);
       this.recordViews(reply, askedAt);
-      const differs = quarantine !== undefined && quarantine.digest !== this.quarantine.digest;
-      if (!this.hasNewerStateThan(reply) && !differs) return;
-      const ownReply = this.composeMessage({ ...this.readReceiverState(reply), quarantine });
-      const secondReply: unknown = await client.request(exchangeMethod, ownReply);
-      this.mergeMessage(this.readMessage(secondReply, address), address);
+      return { message: reply, quarantine };
     } catch (error) {
       if (!signal.aborted)
         this.logger.info("call to peer failed", { peer: address, reason: String(error) });
+      return undefined;
     }
   }
 
@@ -286,9 +334,11 @@
   }
 
   private handleExchange(message: PeerMessage): PeerMessage {
-    const quarantine = this.mergeMessage(message, "caller");
+    const quarantine = this.mergeMessage(message, "caller", false);
     this.publishOwnFacts();
-    return this.composeMessage({ ...this.readReceiverState(message), quarantine });
+    const receiver = { ...this.readReceiverState(message), quarantine };
+    const withoutDocument = message.defersDocument === true && this.hasDocumentFor(receiver);
+    return this.composeMessage(receiver, { withoutDocument });
   }
 
   // Only replies count: a message that was not asked for may have waited here for any time.
@@ -304,7 +354,11 @@
   }
 
   // Returns the message's part on the quarantine if it is valid.
-  private mergeMessage(message: PeerMessage, peer: string): QuarantineExchange | undefined {
+  private mergeMessage(
+    message: PeerMessage,
+    peer: string,
+    isReply: boolean,
+  ): QuarantineExchange | undefined {
     if (this.gossip.riseAbove(message.digest)) {
       const version = message.digest[this.identity.name];
       this.logger.warn("peer holds facts of an earlier start", { peer, version });
@@ -319,15 +373,22 @@
     for (const { key, value, age } of newFacts)
       if (key === factKeys.limits && this.requestLimiter.mergeLimits(value, age))
         this.triggerExchange();
-    this.mergeState(message, peer);
+    this.mergeState(message, peer, isReply);
     return this.mergeQuarantine(message, peer);
   }
 
-  private mergeState(message: PeerMessage, peer: string): void {
-    const tables = readTables(message, this.storeEra.unnamed);
+  // A reply without rows says that there were no changes up to its versions. The opening message of an
+  // exchange says nothing of the kind.
+  private mergeState(message: PeerMessage, peer: string, isReply: boolean): void {
+    const received = readTables(message, this.storeEra.unnamed);
+    const { revision } = this.replicatedState.replicas.document;
+    const noDocument = { rows: [], revision, isWhole: false };
+    const tables =
+      message.withoutDocument === true ? { ...received, document: noDocument } : received;
     const document = message.settings?.value ?? undefined;
-    const isEmpty = ({ rows, isWhole }: TableTransfer): boolean => rows.length === 0 && !isWhole;
-    if (isEmpty(tables.document) && isEmpty(tables.targets) && document === undefined) return;
+    const isStateless =
+      isEmpty(tables.document) && isEmpty(tables.targets) && document === undefined;
+    if (isStateless && !isReply) return;
     const state = {
       tables,
       document: document === undefined ? undefined : Buffer.from(document, "base64"),
@@ -346,36 +407,46 @@
     return valid;
   }
 
-  private composeMessage(receiver: ReceiverState, onlyOwners?: readonly string[]): PeerMessage {
+  private composeMessage(
+    receiver: ReceiverState,
+    { onlyOwners, withoutDocument = false, defersDocument = false }: MessageOptions = {},
+  ): PeerMessage {
     const now = this.clock.monotonicTime();
     const facts = this.gossip.newerThan(receiver.digest, now);
     const { replicas } = this.replicatedState;
+    const document = replicas.document.composeTransfer(receiver.document);
+    const rows = withoutDocument ? [] : document.rows;
+    const inForce = withoutDocument ? undefined : this.findDocumentFor(receiver);
+    const isAmongRows = rows.some(
+      ({ value }) => inForce !== undefined && value?.equals(inForce) === true,
+    );
     return {
       digest: this.gossip.digest(),
       facts:
         onlyOwners === undefined ? facts : facts.filter(({ owner }) => onlyOwners.includes(owner)),
       ...describeTables({
-        document: replicas.document.composeTransfer(receiver.document),
+        document: { ...document, rows },
         targets: replicas.targets.composeTransfer(receiver.targets),
       }),
       settings: {
         version: this.settingsVersion,
-        value: this.findDocumentFor(receiver)?.toString("base64") ?? null,
+        value: isAmongRows ? null : (inForce?.toString("base64") ?? null),
       },
+      withoutDocument,
+      defersDocument,
       lapseGrace: this.replicatedState.targetRegistry.getRemainingGrace(),
       viewAges: this.describeViewAges(),
       quarantine: this.quarantine.composeExchange(receiver.quarantine, now),
     };
   }
 
-  private hasNewerStateThan(other: PeerMessage): boolean {
-    const { document, targets } = this.replicatedState.replicas;
-    const receiver = this.readReceiverState(other);
-    return (
-      isLater(document.revision, receiver.document) ||
-      isLater(targets.revision, receiver.targets) ||
-      this.findDocumentFor(receiver) !== undefined
-    );
+  private hasTargetsFor(receiver: ReceiverState): boolean {
+    return !isEmpty(this.replicatedState.replicas.targets.composeTransfer(receiver.targets));
+  }
+
+  private hasDocumentFor(receiver: ReceiverState): boolean {
+    const transfer = this.replicatedState.replicas.document.composeTransfer(receiver.document);
+    return !isEmpty(transfer) || this.findDocumentFor(receiver) !== undefined;
   }
 
   // Returns the operator's document in force if the receiver has an earlier one. A receiver of
@@ -471,3 +542,7 @@
     return chosen[Math.floor(Math.random() * chosen.length)];
   }
 }
+
+function isEmpty({ rows, isWhole }: TableTransfer): boolean {
+  return rows.length === 0 && !isWhole;
+}
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -297,6 +297,7 @@
   // Returns whether the document is in force now.
   private takeDocument(value: Buffer, from: string): boolean {
     const { logger, readDocument } = this.dependencies;
+    if (this.settings?.value.equals(value) === true) return false;
     const read = decode(() => readDocument(value));
     if (read.isErr) {
       logger.error("settings not readable", { from, reason: read.error });
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -119,7 +119,11 @@
     // A poll that returned rows early, but may have been read late, confirms the state before it
     // only. The next one is shorter, so that the state is confirmed at the usual intervals.
     const remaining = isUnavailable ? 0 : currentAt + longPollTimeout - requestedAt;
-    const pollTimeout = Math.min(longPollTimeout, Math.max(remaining, shortPollTimeout));
+    // In whole milliseconds: a store answers a poll with any other timeout at once.
+    const pollTimeout = Math.min(
+      longPollTimeout,
+      Math.max(Math.round(remaining), shortPollTimeout),
+    );
     const outcome =
       reached === undefined
         ? (await store.readTable(table)).map((snapshot) => ({
--- a/packages/store/test/store.test.ts
+++ b/packages/store/test/store.test.ts
@@ -61,6 +61,16 @@
   }
 }
 
+// Its times are no whole numbers, like those of the monotonic clock.
+function createRunningClock(): Clock {
+  let now = 0.3;
+  return {
+    monotonicTime: () => (now += 7.77),
+    wallClockTime: () => now,
+    sleep: () => Promise.resolve(),
+  };
+}
+
 function createFakeClock(): Clock & { readonly sleeps: number[] } {
   const sleeps: number[] = [];
   return {
@@ -207,6 +217,39 @@
 });
 
 // Guards against changes that arrive late because short polls without changes were taken for a burst.
+// Guards against polls that the store answers at once, so that they are repeated several times a second.
+t.test("the timeouts of polls are whole milliseconds", async (t) => {
+  const change = (version: number): Result<ChangeFeedResult, string> =>
+    Result.ok({ kind: "changed", rows: [row("a", version)], version, era: 0 });
+  const store = new ScriptedStore([
+    Result.ok({ rows: [], version: 1, era: 0 }),
+    change(2),
+    change(3),
+    change(4),
+  ]);
+  await new Promise<void>((resolve) => {
+    const subscription = followTable({
+      store,
+      table: "servers",
+      clock: createRunningClock(),
+      logger: silentLogger,
+      timing: () => ({
+        minimumBatchingDelay: 100,
+        maximumBatchingDelay: 400,
+        longPollTimeout: 10_000,
+      }),
+      knownRevision: () => at(-1),
+    }).subscribe(() => {
+      if (store.timeouts.length === 3) resolve();
+    });
+    t.teardown(() => {
+      subscription.unsubscribe();
+    });
+  });
+  t.ok(store.timeouts.every(Number.isInteger), store.timeouts.join(" "));
+  t.ok(store.timeouts.every((timeout) => timeout > 9_000));
+});
+
 t.test("polls without changes do not lengthen the delay between polls", async (t) => {
   const { sleeps } = await collectChanges(
     [
