Take a stream that sends only comments for stalled

A byte of an unfinished event did not count. On the way: if a comment followed an event in the same chunk, the identifier of the event was not taken over, and a resumed stream would have begun before it (ORDER).

Change: progress is a new identifier, or any event of a stream without identifiers; the splitter returns the last identifier of a chunk.

--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -423,12 +423,17 @@
         const events = splitter.push(chunk);
         if (splitter.hasOversizedEvent) resolveBroken("an event exceeds the maximum size");
         if (events.count === 0) return;
+        // Comments are no progress. Some streams have no identifiers at all.
+        const isProgress =
+          events.lastEventId === undefined
+            ? this.lastEventId === undefined
+            : events.lastEventId !== this.lastEventId;
         this.lastEventId = events.lastEventId ?? this.lastEventId;
-        this.lastEventAt = this.services.clock.monotonicTime();
+        if (isProgress) this.lastEventAt = this.services.clock.monotonicTime();
         this.firstEventAfter ??= this.lastEventAt - this.dispatchedAt;
         this.start.recordEvents(this.lastEventAt);
         this.beginAnswer(message, isDelimited);
-        watched.recordProgress(this.lastEventAt);
+        if (isProgress) watched.recordProgress(this.lastEventAt);
         if (this.answer.send(events.bytes)) return;
         message.pause();
         watched.suspend();
--- a/packages/forwarding/src/event-splitter.ts
+++ b/packages/forwarding/src/event-splitter.ts
@@ -2,7 +2,8 @@
 //! the caller has received only complete events, and the stream can be resumed after the
 //! last of them.
 
-/// Complete events, byte for byte as received, and the identifier of the last one.
+/// Complete events, byte for byte as received, and the last identifier among them. Comments count as
+/// events; they have no identifier.
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly count: number;
@@ -47,12 +48,10 @@
       return noEvents;
     }
     const bytes = Buffer.concat([...this.pending, chunk.subarray(0, end)]);
-    const lastEnd = eventEnds.at(-2);
-    const lastStart = lastEnd === undefined ? 0 : this.pendingLength + lastEnd;
     this.pending = [];
     this.pendingLength = 0;
     this.keep(chunk.subarray(end));
-    return { bytes, count: eventEnds.length, lastEventId: parseEventId(bytes.subarray(lastStart)) };
+    return { bytes, count: eventEnds.length, lastEventId: findLastEventId(bytes) };
   }
 
   private keep(bytes: Buffer): void {
@@ -87,6 +86,7 @@
   }
 }
 
-function parseEventId(event: Buffer): string | undefined {
-  return /(?:^|\n)id: ?([^\r\n]*)/.exec(event.toString("latin1"))?.[1];
+function findLastEventId(events: Buffer): string | undefined {
+  const lineStart = events.lastIndexOf("\nid:") + 1;
+  return /^id: ?([^\r\n]*)/.exec(events.toString("latin1", lineStart))?.[1];
 }
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -100,6 +100,17 @@
   t.end();
 });
 
+// Guards against ORDER: a stream is resumed before an event that has been sent on, since a comment
+// follows the event in the same chunk.
+t.test("the last identifier is that of the last event that has one", (t) => {
+  const splitter = new EventSplitter(1_000);
+  const first = splitter.push(Buffer.from("id: 4\ndata: a\n\nid: 5\ndata: b\n\n:\n\n"));
+  t.equal(first.lastEventId, "5");
+  t.equal(splitter.push(Buffer.from(":\n\n")).lastEventId, undefined);
+  t.equal(splitter.push(Buffer.from("data: c\nid:6\r\n\n")).lastEventId, "6");
+  t.end();
+});
+
 t.test("an event without an end that exceeds the maximum size is reported", (t) => {
   const splitter = new EventSplitter(100);
   splitter.push(Buffer.alloc(101, "x"));
