--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -32,6 +32,7 @@
   type ViewAges,
   type VmFact,
 } from "./peer-message.js";
+import { PeerChoice } from "./peer-choice.js";
 import { StoreFollowers } from "./store-followers.js";
 import type { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { EntryIdentity } from "./entry-dependencies.js";
@@ -47,18 +48,6 @@
 // Changes reach 90 entry VMs in about seven rounds of triggered exchanges.
 const minimumTriggerInterval: Milliseconds = 150;
 const publishInterval: Milliseconds = 1_000;
-// Peers in the same data centre answer sooner and stay reachable during a network partition
-// between data centres.
-const localExchangeShare = 0.6;
-// In a data centre with many entry VMs, a small share of remote exchanges still carries its
-// changes out several times a second, and traffic between data centres is expensive.
-const manyLocalPeersMinimum = 8;
-const localExchangeShareWithManyPeers = 0.9;
-const explorationShare = 0.2;
-// A view that is older than a follower's poll takes has newer ones beside it. Larger shares would make
-// followers busy without making views younger.
-const recentViewMargin: Milliseconds = 200;
-const followerExchangeShare = 0.3;
 const exchangeMethod = "exchange";
 const maximumLoggedFaults = 5;
 const callSchema = z.looseObject({
@@ -94,7 +83,7 @@
       this.logger.warn("call of a peer failed", { reason: message, detail: String(data) });
     },
   });
-  private readonly registeredVms = new Map<string, VmFact>();
+  private readonly choice: PeerChoice;
   private publishedAt: Milliseconds = -Infinity;
   private triggeredAt: Milliseconds = -Infinity;
   private sleepAbort = new AbortController();
@@ -113,6 +102,9 @@
     this.gossip = new GossipState(identity.name, clock.wallClockTime(), factLifetime);
     this.directory = new EntryVmDirectory(identity, this.gossip, clock);
     this.followers = new StoreFollowers(identity.name, this.directory);
+    this.choice = new PeerChoice(identity, this.directory, this.followers, () =>
+      replicatedState.hasRecentTargets(),
+    );
     this.server.addMethod(exchangeMethod, (message: unknown) =>
       this.handleExchange(this.readMessage(message, "caller")),
     );
@@ -173,7 +165,7 @@
   /// Calls `method` of a random live peer, preferably in the same data centre. Returns
   /// `undefined` if there is no live peer or it does not answer.
   async callLivePeer(method: string, parameters: object, signal: AbortSignal): Promise<unknown> {
-    const address = this.chooseLivePeer();
+    const address = this.choice.chooseLive();
     if (address === undefined) return undefined;
     return this.call(address, method, parameters, signal);
   }
@@ -211,7 +203,7 @@
       for (const { key, value } of registered.value.rows) {
         if (value === undefined) continue;
         const fact = readVmFact(value);
-        if (fact.isOk) this.registeredVms.set(key, fact.value);
+        if (fact.isOk) this.choice.addRegistered(key, fact.value);
         else this.logger.warn("ignoring invalid entry VM", { entryVm: key, reason: fact.error });
       }
     }
@@ -230,7 +222,7 @@
         AbortSignal.any([signal, this.sleepAbort.signal]),
       );
       this.publishOwnFacts();
-      const address = this.chooseExchangePeer();
+      const address = this.choice.chooseForExchange();
       if (address !== undefined) await this.exchangeWith(address, signal);
     }
   }
@@ -499,48 +491,6 @@
     if (!Number.isFinite(document + targets)) return undefined;
     return { document: Math.ceil(document), targets: Math.ceil(targets) };
   }
-
-  // Returns a follower of the store in this data centre if the own view of the store is not recent.
-  private chooseFollower(): string | undefined {
-    const recentAge = this.replicatedState.targetPollTimeout + recentViewMargin;
-    if (this.replicatedState.getViewAge("targets") < recentAge) return undefined;
-    const followers = this.followers.list().filter((name) => name !== this.identity.name);
-    const chosen = followers[Math.floor(Math.random() * followers.length)];
-    const fact = this.directory.listLivePeers().find(({ owner }) => owner === chosen);
-    return fact?.value.address;
-  }
-
-  private chooseLivePeer(): string | undefined {
-    const live = this.directory.listLivePeers().filter(({ value }) => !value.isStopping);
-    const local = live.filter(({ value }) => value.dataCentre === this.identity.dataCentre);
-    const pool = local.length > 0 ? local : live;
-    return pool[Math.floor(Math.random() * pool.length)]?.value.address;
-  }
-
-  private chooseExchangePeer(): string | undefined {
-    const follower = this.chooseFollower();
-    if (follower !== undefined && Math.random() < followerExchangeShare) return follower;
-    const ownAddress = this.describeSelf().address;
-    const peerFacts = this.directory.listPeers();
-    const live = this.directory.listLivePeers().map(({ value }) => value);
-    const local = live.filter(({ dataCentre }) => dataCentre === this.identity.dataCentre);
-    const share =
-      local.length >= manyLocalPeersMinimum ? localExchangeShareWithManyPeers : localExchangeShare;
-    const pool = local.length > 0 && Math.random() < share ? local : live;
-    const addresses = pool.map(({ address }) => address);
-    // Some exchanges go to known addresses without a live fact, to heal a network partition.
-    const liveAddresses = new Set(live.map(({ address }) => address));
-    const unconfirmedAddresses = [
-      ...this.identity.seeds,
-      ...[...this.registeredVms.values(), ...peerFacts.map(({ value }) => value)].map(
-        ({ address }) => address,
-      ),
-    ].filter((address) => address !== ownAddress && !liveAddresses.has(address));
-    const isExploring = addresses.length === 0 || Math.random() < explorationShare;
-    const chosen =
-      isExploring && unconfirmedAddresses.length > 0 ? unconfirmedAddresses : addresses;
-    return chosen[Math.floor(Math.random() * chosen.length)];
-  }
 }
 
 function isEmpty({ rows, isWhole }: TableTransfer): boolean {
--- a/packages/entry/src/replicated-state.ts
+++ b/packages/entry/src/replicated-state.ts
@@ -35,6 +35,8 @@
 // The part of the remaining propagation time for which a poll may wait. The rest is for another call
 // over a new connection.
 const pollTimeoutShare = 2 / 3;
+// A follower's view is older than its poll takes by the time between two polls.
+const recentViewMargin: Milliseconds = 200;
 // The feed of the targets detects such connections for this one too.
 const documentPollTimeout: Milliseconds = 10_000;
 // For an entry VM that receives changes from peers, and asks the store only when they are missing.
@@ -228,8 +230,14 @@
     this.viewAges[table].recordCurrent(askedAt - age);
   }
 
-  /// How long a follower's poll for targets waits for changes.
-  get targetPollTimeout(): Milliseconds {
+  /// Whether the view of the targets is about as recent as those of the followers, whose polls take
+  /// some time.
+  hasRecentTargets(): boolean {
+    return this.getViewAge("targets") < this.targetPollTimeout + recentViewMargin;
+  }
+
+  // How long a follower's poll for targets waits for changes.
+  private get targetPollTimeout(): Milliseconds {
     const { propagationTime } = this.dependencies.limits;
     return Math.max(
       minimumTargetPollTimeout,
