Test each fault of the followers of the store, of one and of all at once

Followers that are frozen, cut off from their peers (or stopped, or killed), cut off from the store, or slow, one of two or both, with a change 400 ms before to 3,000 ms after the fault: a removed target and new settings are in force within the propagation time. One that wakes, or has no store, does not pass for current.

--- a/packages/entry/test/relayed-views.test.ts
+++ b/packages/entry/test/relayed-views.test.ts
@@ -1,141 +1,15 @@
-//! An entry VM that leaves the calls to the store to the followers of its data centre. It makes none
-//! while they pass on what they see, and has changes in force in time whatever becomes of them.
-import { TargetRegistry } from "@lovagebend/attempts";
-import { ListedState, RouteTable } from "@lovagebend/catalog";
-import type { Logger, Milliseconds } from "@lovagebend/common";
-import { Result } from "true-myth";
-import t, { type Test } from "tap";
-import type { EntryDependencies } from "../src/index.js";
-import { ReplicatedState } from "../src/replicated-state.js";
-import { entryLimits } from "./entry-limits.js";
+//! An entry VM that does not follow the store itself. It makes no calls while the followers pass on what
+//! they see, and has changes in force in time whatever becomes of them.
+import t from "tap";
+import {
+  createVm,
+  FollowerFault,
+  propagationTime,
+  startScenario,
+} from "./relayed-views-fixture.js";
 import { Outage, ScriptedStore } from "./scripted-store.js";
 import { VirtualClock } from "./virtual-clock.js";
 
-const propagationTime: Milliseconds = 3_000;
-const exchangeInterval: Milliseconds = 400;
-const discard = (): undefined => undefined;
-const logger: Logger = { info: discard, warn: discard, error: discard };
-
-const tables = {
-  document: "op",
-  documentKey: "config",
-  targets: "servers",
-  entryVms: "vms",
-  verdicts: "v",
-};
-
-function createVm(clock: VirtualClock, store: ScriptedStore, isFollower: boolean) {
-  const targetRegistry = new TargetRegistry(clock, logger);
-  const dependencies: Partial<EntryDependencies> = {
-    clock,
-    logger,
-    store,
-    tables,
-    limits: { ...entryLimits, propagationTime },
-    readTarget: (name) =>
-      Result.ok({
-        name,
-        service: "portal",
-        host: "127.0.0.1",
-        port: 80,
-        dataCentre: "north",
-        state: ListedState.Ready,
-        born: 1,
-        slots: 8,
-        card: undefined,
-        layers: undefined,
-      }),
-    readDocument: (value) => {
-      const limits = {
-        maximumHeaderBytes: 1,
-        maximumBodyBytes: 1,
-        headerTimeout: 1,
-        idleTimeout: 1,
-      };
-      const version = Number(value.toString());
-      const services = new Map();
-      const parts = { version, routes: [], services, workspaces: [], limits };
-      return Result.ok({ table: new RouteTable(parts), faults: [] });
-    },
-  };
-  const state = new ReplicatedState(dependencies as EntryDependencies, targetRegistry);
-  state.shouldFollowDirectly = () => isFollower;
-  return { state, targetRegistry };
-}
-
-interface Scenario {
-  readonly clock: VirtualClock;
-  readonly store: ScriptedStore;
-  /// The store as the follower and as the entry VM reach it; each counts its own calls.
-  readonly followerStore: ScriptedStore;
-  readonly ownStore: ScriptedStore;
-  readonly follower: ReplicatedState;
-  readonly vm: ReplicatedState;
-  readonly targets: TargetRegistry;
-  /// Whether exchanges with the follower succeed.
-  isConnected: boolean;
-  /// Advances the time. The entry VM exchanges with the follower all the while.
-  readonly run: (duration: Milliseconds) => Promise<void>;
-}
-
-async function startScenario(t: Test): Promise<Scenario> {
-  const clock = new VirtualClock();
-  const store = new ScriptedStore(clock);
-  store.put("op", "config", "1");
-  store.put("servers", "a", "entry");
-  const followerStore = Object.create(store) as ScriptedStore;
-  const ownStore = Object.create(store) as ScriptedStore;
-  const { state: follower } = createVm(clock, followerStore, true);
-  const { state: vm, targetRegistry: targets } = createVm(clock, ownStore, false);
-  for (const state of [follower, vm]) {
-    const subscription = state.followStore();
-    t.teardown(() => {
-      subscription.unsubscribe();
-    });
-  }
-  const exchange = (): void => {
-    const { document, targets: listed } = vm.replicas;
-    vm.mergePeerState(
-      {
-        tables: {
-          document: follower.replicas.document.composeTransfer(document.revision),
-          targets: follower.replicas.targets.composeTransfer(listed.revision),
-        },
-        document: undefined,
-        lapseGrace: 0,
-      },
-      "follower",
-    );
-    for (const table of ["document", "targets"] as const)
-      vm.recordPeerView({
-        table,
-        age: follower.getViewAge(table),
-        revision: follower.replicas[table].revision,
-        askedAt: clock.monotonicTime(),
-      });
-  };
-  const scenario: Scenario = {
-    clock,
-    store,
-    followerStore,
-    ownStore,
-    follower,
-    vm,
-    targets,
-    isConnected: true,
-    run: async (duration) => {
-      const end = clock.monotonicTime() + duration;
-      while (clock.monotonicTime() < end) {
-        await clock.advanceTo(Math.min(end, clock.monotonicTime() + exchangeInterval));
-        for (const { targetRegistry } of [follower, vm]) targetRegistry.expire();
-        if (scenario.isConnected) exchange();
-      }
-    },
-  };
-  await scenario.run(3_000);
-  return scenario;
-}
-
 t.test("it makes no calls while a follower passes on what it sees", async (t) => {
   const { store, ownStore, vm, targets, run } = await startScenario(t);
   const before = ownStore.callCount;
@@ -157,33 +31,52 @@
   },
 );
 
-// Guards against DRAIN and CONFIG: a removed target, or older settings, in use because nobody passes
-// changes on.
-t.test("changes are in force in time when the followers fall silent", async (t) => {
-  const scenario = await startScenario(t);
-  scenario.isConnected = false;
-  scenario.store.delete("servers", "a");
-  scenario.store.put("op", "config", "2");
-  await scenario.run(propagationTime);
-  t.equal(scenario.targets.get("a"), undefined);
-  t.equal(scenario.vm.routes?.version, 2);
-});
+// Guards against DRAIN and CONFIG: a removed target, a withdrawn key or older settings in use because
+// nobody passes changes on. The change comes at several moments before and after the fault.
+const changeMoments = [-400, -100, 0, 300, 700, 1_100, 1_500, 2_000, 3_000];
+const allAtOnce = [0, 1];
+for (const fault of Object.values(FollowerFault))
+  for (const faulty of [[0], allAtOnce])
+    t.test(`changes are in force in time: ${faulty.length} of 2 followers ${fault}`, async (t) => {
+      for (const moment of changeMoments) {
+        const { store, followers, vm, targets, run } = await startScenario(t);
+        const change = (): void => {
+          store.delete("servers", "a");
+          store.put("op", "config", "2");
+        };
+        await run(1_000 + Math.min(0, moment));
+        if (moment < 0) change();
+        await run(Math.max(0, -moment));
+        for (const index of faulty) {
+          const follower = followers[index];
+          if (follower !== undefined) follower.fault = fault;
+        }
+        await run(Math.max(0, moment));
+        if (moment >= 0) change();
+        await run(propagationTime + Math.min(0, moment));
+        t.equal(targets.get("a"), undefined, `target removed ${moment} ms after the fault`);
+        t.equal(vm.routes?.version, 2, `settings changed ${moment} ms after the fault`);
+      }
+    });
 
-t.test("changes are in force in time when the followers no longer reach the store", async (t) => {
-  const scenario = await startScenario(t);
-  const { store, followerStore, follower, clock, run } = scenario;
-  const fail = async (timeout: Milliseconds) => {
-    await clock.sleep(timeout);
-    return Result.err("no response");
-  };
-  followerStore.waitForChanges = (_table, _after, timeout) => fail(timeout);
-  await run(1_200);
+t.test("a follower that was frozen does not pass for current when it wakes", async (t) => {
+  const { store, followers, vm, targets, run } = await startScenario(t);
+  for (const follower of followers) follower.fault = FollowerFault.Frozen;
+  await run(1_000);
   store.delete("servers", "a");
   store.put("op", "config", "2");
-  await run(propagationTime);
-  t.equal(scenario.targets.get("a"), undefined);
-  t.equal(scenario.vm.routes?.version, 2);
-  t.ok(follower.getViewAge("document") > propagationTime, "the follower does not pass for current");
+  await run(1_000);
+  for (const follower of followers) follower.fault = FollowerFault.None;
+  await run(propagationTime - 1_000);
+  t.equal(targets.get("a"), undefined);
+  t.equal(vm.routes?.version, 2);
+});
+
+t.test("a follower without the store does not pass for current", async (t) => {
+  const { followers, run } = await startScenario(t);
+  for (const follower of followers) follower.fault = FollowerFault.CutFromStore;
+  await run(2 * propagationTime);
+  for (const { state } of followers) t.ok(state.getViewAge("document") > propagationTime);
 });
 
 // Guards against an entry VM that was paused, and then relies on what it was told before.
