review: case 4, as many engines are added as scale_out allows

Cause: three engines added to five were more than the share 0.25 that the claim has to keep; they are added to twelve now.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -5,7 +5,7 @@
 import { Engine, services } from "../lib/replica.mjs";
 
 const entryVmCount = 6;
-const firstEngineCount = 5;
+const firstEngineCount = 12;
 const addedEngineCount = 3;
 const settleTime = 3_000;
 const steadyTime = 20_000;
