--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -3,6 +3,7 @@
 import { spawn } from "node:child_process";
 import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
+import net from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { StoreProxy } from "./store-proxy.mjs";
@@ -13,9 +14,10 @@
   configApplyTime: 2_000,
   drainTime: 2_000,
 };
-const callersPort = 8227;
-const readinessPort = 8220;
-const controlPort = 8229;
+// The ports are the same on all machines, and free ones of each run.
+let callersPort = 0;
+let readinessPort = 0;
+let controlPort = 0;
 const zones = ["north", "middle", "south"];
 const hasTrouble = process.env.TROUBLE !== "0";
 const startTimeout = 30_000;
@@ -54,6 +56,7 @@
     this.writeDocument(document);
     const base = `127.${20 + (process.pid % 200)}.${(process.pid >> 8) % 250}`;
     const hosts = Array.from({ length: entryVmCount }, (_, index) => `${base}.${index + 1}`);
+    [callersPort, readinessPort, controlPort] = await findFreePorts(hosts[0], 3);
     for (const [index, host] of hosts.entries()) {
       const zone = zones[index % zones.length];
       const entryVm = { name: `edge-${zone}-${Math.floor(index / zones.length) + 1}`, host, zone };
@@ -270,6 +273,18 @@
   });
 }
 
+async function findFreePorts(host, count) {
+  const servers = Array.from({ length: count }, () => net.createServer());
+  for (const server of servers)
+    await new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(0, host, resolve);
+    });
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
 // The words of the `run` line of the deploy file.
 function readRunLine() {
   const line = /^run = "(.*)"$/m.exec(readFileSync("deploy/system.toml", "utf8"));
