Keep a stream on its engine until another one has continued it

Cause: the entry VM aborted the dispatch at a silent engine first and then looked for another engine. Those were full, each refusal cost a retry, and the stream ended when the budget was exhausted, after eight refusals or 1.5 s without a path. The class of fault: an answer that may still come is given up for one that cannot be had, and passing reasons are taken for a proof that nothing can come.

Change: the current dispatch goes on while its continuation is offered to a second engine; whichever sends the next event keeps the stream, and the other one is dropped. A begun answer ends only for an AnswerEnd, which is decided in one place and logged with the line; otherwise it waits for a path and for the budget, less and less often. Aborts by the entry VM have a reason of their own in the log. One dispatch is a class of its own (stream-dispatch.ts).

--- /dev/null
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -0,0 +1,284 @@
+//! One dispatch of a stream to the first engine of a path: the request, the engine's reply, and the
+//! events until the stream ends. What becomes of the events is up to the receiver.
+import type { Milliseconds } from "@lovagebend/common";
+import {
+  EventSplitter,
+  readBody,
+  requestHeaders,
+  sendToTarget,
+  type CompleteEvents,
+  type ExchangeOutcome,
+  type TargetResponse,
+} from "@lovagebend/forwarding";
+import type { PathPart } from "@lovagebend/routing";
+import type { AnswerStart } from "./answer-start.js";
+import type { Target } from "./observed-target.js";
+import type { AttemptServices, RoutedRequest } from "./routed-request.js";
+import { WatchedDispatch, type Reroutable } from "./watched-dispatch.js";
+
+/// The result of one dispatch of the stream to a first engine. `hasRun` is set if the engine
+/// had begun to answer, and `isOwnEnd` if this entry VM ended the dispatch, so that the engine is not
+/// at fault. `refusedBy` is the target that refused the request, the first engine or another one.
+export type StreamOutcome =
+  | { readonly kind: "ended" }
+  | {
+      readonly kind: "notRun";
+      readonly reason: string;
+      readonly refusedBy?: string;
+    }
+  | {
+      readonly kind: "broken";
+      readonly reason: string;
+      readonly hasRun: boolean;
+      readonly isOwnEnd: boolean;
+    }
+  | {
+      readonly kind: "failed";
+      readonly status: number;
+      readonly rawHeaders: readonly string[];
+      readonly body: Buffer;
+    };
+
+/// Why this entry VM ends a dispatch.
+export enum DispatchEnd {
+  Replaced = "another engine has continued the stream",
+  Superfluous = "the engine before it goes on",
+  EngineLeaves = "its engine is leaving",
+  DeadlinePassed = "the deadline has passed",
+  RequestEnded = "the request has ended",
+}
+
+/// The stream that a dispatch belongs to.
+export interface StreamReceiver extends Reroutable {
+  /// Takes complete events. Returns whether the caller keeps up with reading them.
+  receive(dispatch: StreamDispatch, events: CompleteEvents, response: TargetResponse): boolean;
+  /// Calls back when the caller has read everything.
+  onceRead(callback: () => void): void;
+}
+
+const maximumEventBytes = 64 * 1024;
+const fullStatus = 503;
+// A sound engine may be silent for a second or so.
+const silenceTimeout: Milliseconds = 1_500;
+
+export class StreamDispatch {
+  readonly dispatchedAt: Milliseconds;
+  readonly outcome: Promise<StreamOutcome>;
+  /// The time until the first event.
+  firstEventAfter: Milliseconds | undefined;
+  /// The response of the engine, when it has begun to answer.
+  response: TargetResponse | undefined;
+  /// Whether the engine may have run the request, even if no answer arrived.
+  mayHaveRun = false;
+  /// Whether the outcome is known.
+  isOver = false;
+  private readonly abort = new AbortController();
+  private readonly watched: WatchedDispatch;
+  private unwatch: (() => void) | undefined;
+
+  /// Sends the request to `target`, the first engine of `path`.
+  constructor(
+    readonly target: Target,
+    public path: readonly PathPart[],
+    readonly start: AnswerStart,
+    private readonly lastEventId: string | undefined,
+    private readonly request: RoutedRequest,
+    private readonly receiver: StreamReceiver,
+    private readonly services: AttemptServices,
+  ) {
+    this.dispatchedAt = services.clock.monotonicTime();
+    this.watched = new WatchedDispatch(receiver, request.id, path, this.dispatchedAt);
+    this.outcome = this.run().finally(() => {
+      this.isOver = true;
+    });
+  }
+
+  /// Whether this entry VM has ended the dispatch.
+  get isDropped(): boolean {
+    return this.abort.signal.aborted;
+  }
+
+  /// Begins to watch the dispatch for stalls and for targets that leave.
+  watch(): void {
+    if (!this.isOver) this.unwatch ??= this.services.watch.add(this.watched);
+  }
+
+  /// Ends the dispatch. Its engine may still run the request.
+  drop(reason: DispatchEnd): void {
+    this.abort.abort(reason);
+  }
+
+  recordProgress(): void {
+    this.watched.recordProgress(this.services.clock.monotonicTime());
+  }
+
+  recordReroute(path: readonly PathPart[]): void {
+    this.path = path;
+    this.watched.recordReroute(path, this.services.clock.monotonicTime());
+  }
+
+  private async run(): Promise<StreamOutcome> {
+    const { request, services, path } = this;
+    const remainingTime = request.deadline - this.dispatchedAt;
+    const timeout = setTimeout(
+      () => {
+        this.drop(DispatchEnd.DeadlinePassed);
+      },
+      Math.max(1, remainingTime),
+    );
+    const endWithRequest = (): void => {
+      this.drop(DispatchEnd.RequestEnded);
+    };
+    request.signal.addEventListener("abort", endWithRequest);
+    const releases = path.map(({ target }) =>
+      services.targetRegistry.begin(target, request.tokens, request.promptTokens),
+    );
+    try {
+      return await this.handleReply(await this.send(remainingTime));
+    } finally {
+      this.unwatch?.();
+      clearTimeout(timeout);
+      request.signal.removeEventListener("abort", endWithRequest);
+      for (const release of releases) release();
+    }
+  }
+
+  private send(remainingTime: Milliseconds): Promise<ExchangeOutcome> {
+    const { request, services, target } = this;
+    const { targetRegistry, connections, headerNames } = services;
+    return sendToTarget(
+      {
+        id: request.id,
+        host: target.host,
+        port: target.port,
+        method: request.method,
+        path: request.path,
+        headers: requestHeaders(
+          request,
+          {
+            deadline: remainingTime,
+            expectedTarget: target.name,
+            workspace: request.workspace,
+            path: services.formatPath(this.path, targetRegistry),
+            lastEventId: this.lastEventId,
+          },
+          headerNames,
+        ),
+        body: request.body,
+        requiresNewConnection: false,
+        signal: this.abort.signal,
+      },
+      connections,
+      headerNames,
+    );
+  }
+
+  private async handleReply(reply: ExchangeOutcome): Promise<StreamOutcome> {
+    const { services, target } = this;
+    const { targetRegistry } = services;
+    switch (reply.kind) {
+      case "notSent":
+        if (!this.isDropped) targetRegistry.suspect(target.name, reply.reason);
+        return { kind: "notRun", reason: this.explain(reply.reason) };
+      case "unknown":
+        if (!this.isDropped) targetRegistry.suspect(target.name, reply.reason);
+        this.mayHaveRun = true;
+        // A silent engine from which the stream is moved away may still run it.
+        return this.createBroken(reply.reason, this.isDropped);
+      case "answered":
+        return this.handleAnswer(reply.response);
+    }
+  }
+
+  private async handleAnswer(response: TargetResponse): Promise<StreamOutcome> {
+    const { services, target } = this;
+    const { targetRegistry, headerNames, clock, requestLimiter } = services;
+    const { status, message, isNotRun, faultyTarget } = response;
+    const limit = message.headers[headerNames.requestLimit];
+    requestLimiter.recordAnswer(target, limit?.toString(), this.dispatchedAt);
+    const admission = services.admissions.get(this.request.service.name);
+    if (status === 200 || !isNotRun) this.mayHaveRun = true;
+    if (status === 200) {
+      admission.recordAccepted(clock.monotonicTime());
+      this.response = response;
+      return this.forwardEvents(response);
+    }
+    const body = await readBody(response, services.answerMemory);
+    if (!isNotRun) {
+      if (body.isErr) return this.createBroken(body.error, true);
+      return { kind: "failed", status, rawHeaders: message.rawHeaders, body: body.value };
+    }
+    const refusingTarget =
+      faultyTarget === undefined
+        ? target.name
+        : (targetRegistry.findByAddress(faultyTarget)?.name ?? target.name);
+    targetRegistry.recordRefusal(refusingTarget);
+    if (status === fullStatus) admission.recordRefused(clock.monotonicTime());
+    const reason = `${refusingTarget} refused with status ${status}`;
+    return { kind: "notRun", reason, refusedBy: refusingTarget };
+  }
+
+  private forwardEvents(response: TargetResponse): Promise<StreamOutcome> {
+    const { message, getConnectionError, isDelimited } = response;
+    const { clock } = this.services;
+    const splitter = new EventSplitter(maximumEventBytes);
+    return new Promise((resolve) => {
+      const resolveBroken = (reason: string): void => {
+        resolve(this.createBroken(reason, true));
+        message.destroy();
+      };
+      message.on("data", (chunk: Buffer) => {
+        if (this.isDropped) return;
+        const events = splitter.push(chunk);
+        if (splitter.hasOversizedEvent) resolveBroken("an event exceeds the maximum size");
+        if (events.count === 0) return;
+        this.firstEventAfter ??= clock.monotonicTime() - this.dispatchedAt;
+        this.start.recordEvents(clock.monotonicTime());
+        if (this.receiver.receive(this, events, response)) return;
+        message.pause();
+        this.watched.suspend();
+        this.receiver.onceRead(() => {
+          this.watched.resume(clock.monotonicTime());
+          message.resume();
+        });
+      });
+      message.on("error", (error) => {
+        resolveBroken(error.message);
+      });
+      let hasEnd = false;
+      message.on("close", () => {
+        if (!hasEnd) resolveBroken("the connection closed before the end of the stream");
+      });
+      message.on("end", () => {
+        if (!message.complete || getConnectionError() !== undefined || splitter.pendingBytes > 0) {
+          resolveBroken(getConnectionError() ?? "the stream ended within an event");
+          return;
+        }
+        hasEnd = true;
+        if (isDelimited) this.start.recordCompletion();
+        this.watched.suspend();
+        void this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
+          if (isEndOfTarget)
+            resolveBroken("the target ended, and with it the stream without a length");
+          else resolve({ kind: "ended" });
+        });
+      });
+    });
+  }
+
+  // The end of a stream without a length looks the same whether the target has completed the
+  // stream or has ended itself.
+  private async isEndOfTarget(isDelimited: boolean): Promise<boolean> {
+    if (isDelimited) return false;
+    return this.services.crashReporter.hasEnded(this.target, silenceTimeout);
+  }
+
+  private createBroken(reason: string, hasRun: boolean): StreamOutcome {
+    return { kind: "broken", reason: this.explain(reason), hasRun, isOwnEnd: this.isDropped };
+  }
+
+  // The error of an exchange that this entry VM ended says only that it was aborted.
+  private explain(reason: string): string {
+    return this.isDropped ? String(this.abort.signal.reason) : reason;
+  }
+}
--- a/packages/attempts/src/stream-watch.ts
+++ b/packages/attempts/src/stream-watch.ts
@@ -54,6 +54,7 @@
   add(stream: ReroutableStream): () => void {
     this.streams.set(stream.request, stream);
     return () => {
+      if (this.streams.get(stream.request) !== stream) return;
       this.streams.delete(stream.request);
       this.lastActionAt.delete(stream.request);
     };
@@ -98,7 +99,7 @@
     const first = this.getAddress(stream.targets[0]);
     if (first === undefined) return;
     const stalled = await this.engines.getStalledAnswers(first);
-    if (!this.streams.has(stream.request)) return;
+    if (this.streams.get(stream.request) !== stream) return;
     if (stalled.isErr) {
       const failures = (this.failedReports.get(first.name) ?? 0) + 1;
       this.failedReports.set(first.name, failures);
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -1,7 +1,8 @@
 //! Executes streaming requests on pipelines of engines that each hold some of the model's
 //! layers, and forwards the answer event by event. If a part of the path fails, the answer is
-//! rerouted to another path; if its first engine fails, the answer is resumed on another one
-//! after the last complete event.
+//! rerouted to another path. If its first engine is lost, the answer is resumed on another one after
+//! the last complete event. An engine that is only silent keeps the stream until another one
+//! continues it: whichever of the two sends the next event goes on.
 import { isRetryable } from "@lovagebend/catalog";
 import {
   ErrorKind,
@@ -10,50 +11,29 @@
   RunState,
   type Milliseconds,
 } from "@lovagebend/common";
-import {
-  responseHeaders,
-  EventSplitter,
-  requestHeaders,
-  readBody,
-  sendToTarget,
-  type ExchangeOutcome,
-  type TargetResponse,
-} from "@lovagebend/forwarding";
+import { responseHeaders, type CompleteEvents, type TargetResponse } from "@lovagebend/forwarding";
 import { RetryPurpose, type FairAdmission } from "@lovagebend/limits";
 import type { PathPart } from "@lovagebend/routing";
-import type http from "node:http";
 import { AnswerStart } from "./answer-start.js";
-import { createEndError, isEndedByStop, RequestEnd } from "./request-end.js";
+import { createEndError, isEndedByStop } from "./request-end.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
+import {
+  DispatchEnd,
+  StreamDispatch,
+  type StreamOutcome,
+  type StreamReceiver,
+} from "./stream-dispatch.js";
+import { AnswerEnd, findAnswerEnd } from "./stream-end.js";
 import { StreamPaths } from "./stream-paths.js";
-import type { Target } from "./observed-target.js";
 import { Urgency } from "./stream-watch.js";
-import { WatchedDispatch, type Reroutable } from "./watched-dispatch.js";
-
-/// The result of one dispatch of the stream to a first engine. `hasRun` is set if the engine
-/// had begun to answer.
-type StreamOutcome =
-  | { readonly kind: "ended" }
-  | { readonly kind: "notRun"; readonly reason: string }
-  | { readonly kind: "broken"; readonly reason: string; readonly hasRun: boolean }
-  | {
-      readonly kind: "failed";
-      readonly status: number;
-      readonly rawHeaders: readonly string[];
-      readonly body: Buffer;
-    };
-
-const maximumEventBytes = 64 * 1024;
-const fullStatus = 503;
+
 // Before the answer has begun, an early refusal lets the caller retry instead of waiting for
 // many refusals by engines. After that, the caller can only continue with this answer.
 const maximumDispatchesBeforeBegin = 3;
-const maximumDispatches = 8;
 // Callers abandon a stream after two seconds without an event.
 const resumeTimeout: Milliseconds = 1_500;
 const resumeInterval: Milliseconds = 100;
-// A sound engine may be silent for a second or so.
-const silenceTimeout: Milliseconds = 1_500;
+const maximumRefusalPause: Milliseconds = 800;
 const noPathRetryAfterSeconds = 0.5;
 const refusedRetryAfterSeconds = 0.3;
 
@@ -67,29 +47,27 @@
   await new StreamAnswer(request, answer, services).run();
 }
 
-class StreamAnswer implements Reroutable {
+class StreamAnswer implements StreamReceiver {
   private lastEventId: string | undefined;
   private lastEventAt: Milliseconds = -Infinity;
-  private path: readonly PathPart[] = [];
   private readonly excludedTargets: string[] = [];
   private readonly paths: StreamPaths;
-  private dispatchAbort: AbortController | undefined;
-  /// The first target of the current dispatch, as listed when it was sent.
-  private dispatchTarget: Target | undefined;
-  private start: AnswerStart;
+  /// The dispatch that writes the answer.
+  private current: StreamDispatch | undefined;
+  /// A dispatch that may continue the answer of a silent engine.
+  private successor: StreamDispatch | undefined;
   /// The number of dispatches on which an engine began to answer.
   private executions = 0;
   /// Whether an engine may have run the request, even if no answer arrived.
   private mayHaveRun = false;
-  /// The number of dispatches so far, without the current one.
   private dispatches = 0;
-  /// Whether the retry budget has been charged for the dispatch that replaces the current one.
-  private isReplacementPaid = false;
+  /// Whether the retry budget has been charged for the next dispatch.
+  private isRetryPaid = false;
   /// Whether an engine has written the answer for longer than its start.
   private hasLived = false;
-  /// Times of the current dispatch, for the log.
-  private dispatchedAt: Milliseconds = 0;
-  private firstEventAfter: Milliseconds | undefined;
+  private refusalPause = resumeInterval;
+  /// Why the latest dispatch gave no whole answer.
+  private reason = "";
 
   constructor(
     private readonly request: RoutedRequest,
@@ -97,7 +75,6 @@
     private readonly services: AttemptServices,
   ) {
     this.paths = new StreamPaths(request.service, services);
-    this.start = this.createStart();
   }
 
   async run(): Promise<void> {
@@ -105,66 +82,92 @@
     const { budget, clock } = services;
     budget.recordRequest(request.service.name, clock.monotonicTime());
     this.assertAdmitted();
-    let reason = "";
-    for (; this.dispatches < maximumDispatches; this.dispatches += 1) {
+    for (;;) {
       if (this.isEnded()) return;
       if (this.isQuarantined()) return;
       request.progress.recordWait();
-      const path = await this.findPath();
-      const { limitRetryAfter } = this.paths;
-      if (path === undefined && limitRetryAfter !== undefined) {
-        this.giveUp(ErrorKind.TargetsLimited, reason, limitRetryAfter / 1_000);
-        return;
-      }
+      const path = this.answer.hasBegun ? await this.waitForPath() : await this.findFirstPath();
+      // The signal may have aborted while the path was being found.
+      if (this.isEnded()) return;
       if (path === undefined) {
-        this.giveUp(
-          ErrorKind.NoPath,
-          `${this.paths.describeMissingPath(this.excludedTargets)} ${reason}`.trim(),
-        );
-        return;
-      }
-      if (this.dispatches >= this.maximumDispatches) break;
-      if (this.dispatches > 0 && !this.isReplacementPaid && !this.spendRetry()) {
-        this.giveUp(ErrorKind.TargetUnreachable, "the retry budget is exhausted");
+        this.breakOff(AnswerEnd.DeadlinePassed);
         return;
       }
-      // The signal may have aborted while the path was being found.
-      if (this.isEnded()) return;
-      this.path = path;
-      this.isReplacementPaid = false;
-      const outcome = await this.dispatch();
-      if ("reason" in outcome) request.progress.recordFailure(outcome.reason);
-      this.logDispatch(path, outcome);
-      switch (outcome.kind) {
-        case "ended":
-          return;
-        case "notRun":
-          reason = outcome.reason;
-          if (this.answer.hasBegun) await clock.sleep(resumeInterval, request.signal);
-          continue;
-        case "failed":
-          this.executions += 1;
-          if (this.isRetryAllowed()) continue;
-          this.forwardFailure(outcome.status, outcome.rawHeaders, outcome.body);
+      this.current = this.createDispatch(path);
+      if (this.current === undefined) continue;
+      request.progress.recordOffer(this.current.target.name);
+      this.current.watch();
+      const outcome = await this.follow(this.current);
+      if (this.finish(outcome)) return;
+      if (this.answer.hasBegun) await this.waitAfter(outcome);
+    }
+  }
+
+  /// Forwards events of the current dispatch, or of its successor, which then replaces it.
+  receive(dispatch: StreamDispatch, events: CompleteEvents, response: TargetResponse): boolean {
+    // Comments are no progress. Some streams have no identifiers at all.
+    const isProgress =
+      events.lastEventId === undefined
+        ? this.lastEventId === undefined
+        : events.lastEventId !== this.lastEventId;
+    if (dispatch === this.successor) {
+      if (!isProgress) return true;
+      this.promoteSuccessor();
+    }
+    if (dispatch !== this.current) return true;
+    if (isProgress) {
+      this.successor?.drop(DispatchEnd.Superfluous);
+      this.lastEventId = events.lastEventId ?? this.lastEventId;
+      this.lastEventAt = this.services.clock.monotonicTime();
+      dispatch.recordProgress();
+    }
+    this.beginAnswer(response);
+    return this.answer.send(events.bytes);
+  }
+
+  onceRead(callback: () => void): void {
+    this.answer.onceRead(callback);
+  }
+
+  /// Moves the answer off the `excluded` targets: to another path behind the same first engine
+  /// if there is one, otherwise by resuming it on another path if `urgency` requires it.
+  async reroute(excluded: readonly string[], reason: string, urgency: Urgency): Promise<void> {
+    const { targetRegistry, engines, logger, formatPath } = this.services;
+    const { current } = this;
+    const firstPart = current?.path[0];
+    if (current === undefined || firstPart === undefined) return;
+    const address = targetRegistry.get(firstPart.target);
+    if (address === undefined || excluded.includes(firstPart.target)) {
+      await this.moveToAnotherEngine(current, urgency, excluded);
+      return;
+    }
+    const path = this.paths.choose(firstPart, excluded);
+    if (path !== undefined) {
+      const change = await engines.changePath(
+        address,
+        this.request.id,
+        formatPath(path, targetRegistry),
+      );
+      logger.info("path changed", {
+        request: this.request.id,
+        avoid: excluded,
+        reason,
+        urgency,
+        path: formatParts(path),
+        outcome: change,
+      });
+      switch (change.kind) {
+        case "changed":
+          current.recordReroute(path);
           return;
-        case "broken":
-          if (outcome.hasRun) this.executions += 1;
-          reason = outcome.reason;
-          // The report decides on the next dispatch only while the prompt may be at fault.
-          if (this.hasLived) runDetached(services.logger, "crash report", this.reportBrokenStart());
-          else await this.reportBrokenStart();
-          this.excludeFirst(path, reason);
-          if (clock.monotonicTime() >= request.deadline) {
-            this.giveUp(ErrorKind.DeadlineExceeded, reason);
-            return;
-          }
-          if (!this.isRetryAllowed()) {
-            this.giveUp(ErrorKind.TargetFailed, reason);
-            return;
-          }
+        case "refused":
+          if (change.target !== undefined) targetRegistry.recordRefusal(change.target);
+          break;
+        case "unknown":
+          break;
       }
     }
-    this.giveUp(ErrorKind.TargetUnreachable, reason);
+    if (urgency === Urgency.Now) await this.moveToAnotherEngine(current, urgency, excluded);
   }
 
   // Refuses a request at once that full engines would refuse later.
@@ -186,58 +189,88 @@
     return this.services.admissions.get(this.request.service.name);
   }
 
-  private get maximumDispatches(): number {
-    return this.answer.hasBegun ? maximumDispatches : maximumDispatchesBeforeBegin;
-  }
-
-  private isRetryAllowed(): boolean {
-    const { route } = this.request;
-    return isRetryable(route) && this.executions < route.maximumAttempts;
-  }
-
-  private spendRetry(): boolean {
+  // Charges the retry budget for the next dispatch, unless that has been done.
+  private payRetry(): boolean {
     const { budget, clock, entryVmCount } = this.services;
-    return budget.trySpend(
+    this.isRetryPaid ||= budget.trySpend(
       this.request.service.name,
       entryVmCount(),
       clock.monotonicTime(),
-      this.getRetryPurpose(),
+      this.answer.hasBegun ? RetryPurpose.Resume : RetryPurpose.Start,
     );
+    return this.isRetryPaid;
   }
 
-  private getRetryPurpose(): RetryPurpose {
-    return this.answer.hasBegun ? RetryPurpose.Resume : RetryPurpose.Start;
+  // The path of a request whose answer has not begun. It is refused immediately if there is none.
+  private async findFirstPath(): Promise<readonly PathPart[]> {
+    const path =
+      (await this.paths.chooseWithoutRefusing(this.excludedTargets)) ??
+      (await this.paths.chooseWithinLimits(this.excludedTargets));
+    const { limitRetryAfter } = this.paths;
+    if (path === undefined && limitRetryAfter !== undefined)
+      throw this.createRefusal(ErrorKind.TargetsLimited, this.reason, limitRetryAfter / 1_000);
+    if (path === undefined) {
+      const missing = this.paths.describeMissingPath(this.excludedTargets);
+      const detail = `${missing} ${this.reason}`.trim();
+      throw this.createRefusal(ErrorKind.NoPath, detail, noPathRetryAfterSeconds);
+    }
+    if (this.dispatches >= maximumDispatchesBeforeBegin)
+      throw this.createRefusal(ErrorKind.TargetUnreachable, this.reason);
+    if (this.dispatches > 0 && !this.payRetry())
+      throw this.createRefusal(ErrorKind.TargetUnreachable, "the retry budget is exhausted");
+    return path;
   }
 
-  // An answer that has begun waits for missing layers to be placed again, or for engines that
-  // refused to have capacity again, because each refusal costs a retry. A request whose answer
-  // has not begun is refused immediately.
-  private async findPath(): Promise<readonly PathPart[] | undefined> {
+  // The path on which an answer that has begun is resumed, paid from the retry budget. Waits for
+  // missing layers to be placed again, for engines that refused to have capacity again, and for the
+  // budget, until the deadline.
+  private async waitForPath(): Promise<readonly PathPart[] | undefined> {
     const { clock } = this.services;
-    const immediatePath = await this.paths.chooseWithoutRefusing(this.excludedTargets);
-    if (immediatePath !== undefined || !this.answer.hasBegun)
-      return immediatePath ?? this.paths.chooseWithinLimits(this.excludedTargets);
-    this.excludedTargets.length = 0;
-    const resumeDeadline = this.lastEventAt + resumeTimeout;
-    while (clock.monotonicTime() < resumeDeadline && !this.request.signal.aborted) {
-      await clock.sleep(resumeInterval, this.request.signal);
-      const path = await this.paths.chooseWithoutRefusing([]);
-      if (path !== undefined) return path;
+    const { signal, deadline } = this.request;
+    let hasTriedRefusing = false;
+    for (;;) {
+      if (signal.aborted || clock.monotonicTime() >= deadline) return undefined;
+      const excluded = this.paths.hasPathWithoutRefusing(this.excludedTargets)
+        ? this.excludedTargets
+        : [];
+      // The caller is about to leave, so that engines that refused are tried once more.
+      const mayRefuse: boolean =
+        !hasTriedRefusing && clock.monotonicTime() >= this.lastEventAt + resumeTimeout;
+      const hasPath = mayRefuse
+        ? this.paths.hasPath(excluded)
+        : this.paths.hasPathWithoutRefusing(excluded);
+      if (hasPath && this.payRetry()) {
+        hasTriedRefusing ||= mayRefuse;
+        const path = mayRefuse
+          ? await this.paths.chooseWithinLimits(excluded)
+          : await this.paths.chooseWithoutRefusing(excluded);
+        if (path !== undefined) return path;
+      }
+      await clock.sleep(resumeInterval, signal);
     }
-    return this.paths.chooseWithinLimits([]);
   }
 
-  private logDispatch(path: readonly PathPart[], outcome: StreamOutcome): void {
-    this.services.logger.info("stream offered", {
-      request: this.request.id,
-      path: path.map(({ target, first, end }) => `${target}:${first}-${end}`).join(" "),
-      promptParts: this.request.sharedPromptParts.join(","),
-      lastEvent: this.lastEventId,
-      firstEventAfter: roundTime(this.firstEventAfter),
-      took: roundTime(this.services.clock.monotonicTime() - this.dispatchedAt),
-      outcome: outcome.kind,
-      ...("reason" in outcome ? { reason: outcome.reason } : {}),
-    });
+  // Each refusal costs a retry, so the answer is offered less and less often.
+  private async waitAfter(outcome: StreamOutcome): Promise<void> {
+    if (outcome.kind !== "notRun") {
+      this.refusalPause = resumeInterval;
+      return;
+    }
+    await this.services.clock.sleep(this.refusalPause, this.request.signal);
+    this.refusalPause = Math.min(maximumRefusalPause, this.refusalPause * 2);
+  }
+
+  private createDispatch(path: readonly PathPart[]): StreamDispatch | undefined {
+    const { request, services } = this;
+    const first = path[0] === undefined ? undefined : services.targetRegistry.get(path[0].target);
+    this.dispatches += 1;
+    this.isRetryPaid = false;
+    if (first === undefined) {
+      this.reason = "the first target is no longer listed";
+      return undefined;
+    }
+    const start = this.createStart();
+    return new StreamDispatch(first, path, start, this.lastEventId, request, this, services);
   }
 
   private createStart(): AnswerStart {
@@ -248,333 +281,260 @@
     });
   }
 
-  // Gives the request up if a part of its prompt is not admitted. An answer that has lived shows
-  // that its prompt is sound.
-  private isQuarantined(): boolean {
-    if (this.hasLived) return false;
-    const { quarantine, clock, logger, holdsTrial } = this.services;
-    const { id, sharedPromptParts } = this.request;
-    const admission = quarantine.admit(sharedPromptParts, clock.monotonicTime(), holdsTrial);
-    if (admission.kind === "admitted") return false;
-    const { kind, part, retryAfter } = admission;
-    logger.warn("prompt not admitted", { request: id, reason: kind, part });
-    this.giveUp(ErrorKind.PromptQuarantined, `Part ${part} is ${kind}.`, retryAfter / 1_000);
-    return true;
+  // Returns the outcome of `first`, or of the last dispatch that has replaced it.
+  private async follow(first: StreamDispatch): Promise<StreamOutcome> {
+    let dispatch = first;
+    for (;;) {
+      const outcome = await dispatch.outcome;
+      await this.recordOutcome(dispatch, outcome);
+      if (dispatch === this.current) {
+        if (outcome.kind === "ended") this.successor?.drop(DispatchEnd.Superfluous);
+        if (outcome.kind === "ended" || this.successor === undefined) return outcome;
+        this.promoteSuccessor();
+      }
+      dispatch = this.current ?? dispatch;
+    }
   }
 
-  private async reportBrokenStart(): Promise<void> {
-    if (this.dispatchTarget === undefined || this.start.isOver) return;
-    if (this.dispatchAbort?.signal.aborted === true) return;
-    const { crashReporter } = this.services;
-    await crashReporter.reportBrokenStart(this.dispatchTarget, this.request, this.start.hasEvents);
+  // Moves the answer to another first engine, if the request may be dispatched again now.
+  private async moveToAnotherEngine(
+    current: StreamDispatch,
+    urgency: Urgency,
+    excluded: readonly string[],
+  ): Promise<void> {
+    const { route } = this.request;
+    if (this.successor !== undefined || current.isDropped) return;
+    // The current dispatch counts as an execution.
+    if (!isRetryable(route) || this.executions + 1 >= route.maximumAttempts) return;
+    if (!this.answer.hasBegun && this.dispatches >= maximumDispatchesBeforeBegin) return;
+    const avoided = [...this.excludedTargets, ...excluded, current.target.name];
+    switch (urgency) {
+      case Urgency.WhileItRuns:
+        return;
+      case Urgency.Soon:
+        // While the engine writes, no other one can continue after its last event.
+        if (!this.paths.hasPathWithoutRefusing(avoided) || !this.payRetry()) return;
+        current.drop(DispatchEnd.EngineLeaves);
+        return;
+      case Urgency.Now:
+        await this.offerToSuccessor(current, avoided);
+    }
   }
 
-  // An engine that broke a stream off is excluded from the next dispatches of the stream. An
-  // engine whose dispatch this entry VM aborted because of another engine remains available.
-  private excludeFirst(path: readonly PathPart[], reason: string): void {
-    const first = path[0]?.target;
-    if (first === undefined || this.dispatchAbort?.signal.aborted === true) return;
-    this.excludedTargets.push(first);
-    this.services.targetRegistry.suspect(first, reason);
+  // The current dispatch goes on, because a silent engine may continue after a second or so, and
+  // the other one may refuse.
+  private async offerToSuccessor(
+    current: StreamDispatch,
+    avoided: readonly string[],
+  ): Promise<void> {
+    if (!this.paths.hasPathWithoutRefusing(avoided) || !this.payRetry()) return;
+    const path = await this.paths.chooseWithoutRefusing(avoided);
+    if (path === undefined || current !== this.current || current.isOver) return;
+    const successor = this.createDispatch(path);
+    if (successor === undefined) return;
+    this.successor = successor;
+    runDetached(this.services.logger, "successor of a dispatch", this.observeSuccessor(successor));
   }
 
-  // Whether the request has ended. Breaks an answer off that has begun; throws if none has begun
-  // or if the caller has left.
-  private isEnded(): boolean {
-    const { signal } = this.request;
-    if (!signal.aborted) return false;
-    if (!this.answer.hasBegun || !isEndedByStop(signal))
-      throw createEndError(signal, this.mayHaveRun);
-    this.breakOff(ErrorKind.StoppedUnanswered, RequestEnd.VmStopping);
-    return true;
+  private async observeSuccessor(successor: StreamDispatch): Promise<void> {
+    const outcome = await successor.outcome;
+    if (successor !== this.successor) return;
+    // The engine that continues the answer had nothing to add to it.
+    if (outcome.kind === "ended" && !successor.isDropped) {
+      this.promoteSuccessor();
+      return;
+    }
+    this.successor = undefined;
+    await this.recordOutcome(successor, outcome);
   }
 
-  private breakOff(kind: ErrorKind, reason: string): void {
-    this.services.logger.warn("stream broken off", { request: this.request.id, kind, reason });
-    this.answer.abort(`${kind}: ${reason}`);
+  private promoteSuccessor(): void {
+    const { current, successor } = this;
+    if (successor === undefined) return;
+    this.current = successor;
+    this.successor = undefined;
+    this.request.progress.recordOffer(successor.target.name);
+    successor.watch();
+    current?.drop(DispatchEnd.Replaced);
   }
 
-  private giveUp(kind: ErrorKind, reason: string, retryAfterSeconds?: number): void {
-    if (this.isEnded()) return;
-    if (this.answer.hasBegun) {
-      this.breakOff(kind, reason);
-      return;
-    }
-    if (!this.mayHaveRun) {
-      const seconds =
-        kind === ErrorKind.NoPath ? noPathRetryAfterSeconds : refusedRetryAfterSeconds;
-      throw new RouterError(kind, RunState.NotRun, reason, retryAfterSeconds ?? seconds);
+  // Records what a dispatch shows of its engines and of the request.
+  private async recordOutcome(dispatch: StreamDispatch, outcome: StreamOutcome): Promise<void> {
+    this.logDispatch(dispatch, outcome);
+    this.mayHaveRun ||= dispatch.mayHaveRun;
+    if ("reason" in outcome) this.reason = outcome.reason;
+    if ("reason" in outcome && dispatch === this.current)
+      this.request.progress.recordFailure(outcome.reason);
+    switch (outcome.kind) {
+      case "ended":
+        if (dispatch !== this.current) this.executions += 1;
+        return;
+      case "notRun":
+        if (outcome.refusedBy !== undefined) this.excludedTargets.push(outcome.refusedBy);
+        return;
+      case "failed":
+        this.executions += 1;
+        return;
+      case "broken":
+        if (outcome.hasRun) this.executions += 1;
+        if (outcome.isOwnEnd) return;
+        this.excludedTargets.push(dispatch.target.name);
+        this.services.targetRegistry.suspect(dispatch.target.name, outcome.reason);
+        // The report decides on the next dispatch only while the prompt may be at fault.
+        if (this.hasLived)
+          runDetached(this.services.logger, "crash report", this.reportBrokenStart(dispatch));
+        else await this.reportBrokenStart(dispatch);
     }
-    const isNotRunKind =
-      kind === ErrorKind.NoPath ||
-      kind === ErrorKind.TargetUnreachable ||
-      kind === ErrorKind.TargetsLimited ||
-      kind === ErrorKind.PromptQuarantined;
-    throw new RouterError(isNotRunKind ? ErrorKind.TargetFailed : kind, RunState.Unknown, reason);
   }
 
-  private forwardFailure(status: number, rawHeaders: readonly string[], body: Buffer): void {
-    if (this.answer.hasBegun) {
-      this.answer.abort(`the resumed answer failed with status ${status}`);
-      return;
-    }
-    this.answer.begin(status, responseHeaders(rawHeaders), { kind: "length", bytes: body.length });
-    this.answer.end(body);
+  private async reportBrokenStart({ target, start }: StreamDispatch): Promise<void> {
+    if (start.isOver) return;
+    await this.services.crashReporter.reportBrokenStart(target, this.request, start.hasEvents);
   }
 
-  private async dispatch(): Promise<StreamOutcome> {
-    const { request, services } = this;
-    const { targetRegistry, clock, connections, headerNames } = services;
-    const first = this.path[0] === undefined ? undefined : targetRegistry.get(this.path[0].target);
-    if (first === undefined)
-      return { kind: "notRun", reason: "the first target is no longer listed" };
-    const remainingTime = request.deadline - clock.monotonicTime();
-    this.dispatchAbort = new AbortController();
-    this.dispatchTarget = first;
-    request.progress.recordOffer(first.name);
-    this.start = this.createStart();
-    this.dispatchedAt = clock.monotonicTime();
-    this.firstEventAfter = undefined;
-    const timeout = setTimeout(() => this.dispatchAbort?.abort(), Math.max(1, remainingTime));
-    const abortDispatch = (): void => this.dispatchAbort?.abort();
-    request.signal.addEventListener("abort", abortDispatch);
-    const releases = this.path.map(({ target }) =>
-      targetRegistry.begin(target, request.tokens, request.promptTokens),
-    );
-    try {
-      const watched = new WatchedDispatch(this, request.id, this.path, clock.monotonicTime());
-      const unwatch = services.watch.add(watched);
-      try {
-        const reply = await sendToTarget(
-          {
-            id: request.id,
-            host: first.host,
-            port: first.port,
-            method: request.method,
-            path: request.path,
-            headers: requestHeaders(
-              request,
-              {
-                deadline: remainingTime,
-                expectedTarget: first.name,
-                workspace: request.workspace,
-                path: services.formatPath(this.path, targetRegistry),
-                lastEventId: this.lastEventId,
-              },
-              headerNames,
-            ),
-            body: request.body,
-            requiresNewConnection: false,
-            signal: this.dispatchAbort.signal,
-          },
-          connections,
-          headerNames,
-        );
-        return await this.handleReply(reply, first.name, watched);
-      } finally {
-        unwatch();
-      }
-    } finally {
-      clearTimeout(timeout);
-      request.signal.removeEventListener("abort", abortDispatch);
-      for (const release of releases) release();
-    }
+  private logDispatch(dispatch: StreamDispatch, outcome: StreamOutcome): void {
+    const { clock, logger } = this.services;
+    logger.info("stream offered", {
+      request: this.request.id,
+      path: formatParts(dispatch.path),
+      promptParts: this.request.sharedPromptParts.join(","),
+      lastEvent: this.lastEventId,
+      firstEventAfter: roundTime(dispatch.firstEventAfter),
+      took: roundTime(clock.monotonicTime() - dispatch.dispatchedAt),
+      outcome: outcome.kind,
+      ...("reason" in outcome ? { reason: outcome.reason } : {}),
+    });
   }
 
-  private async handleReply(
-    reply: ExchangeOutcome,
-    first: string,
-    watched: WatchedDispatch,
-  ): Promise<StreamOutcome> {
-    const { targetRegistry } = this.services;
-    const wasAborted = this.dispatchAbort?.signal.aborted === true;
-    switch (reply.kind) {
-      case "notSent":
-        if (!wasAborted) targetRegistry.suspect(first, reply.reason);
-        return { kind: "notRun", reason: reply.reason };
-      case "unknown":
-        if (!wasAborted) targetRegistry.suspect(first, reply.reason);
-        this.mayHaveRun = true;
-        // A silent engine from which the stream is moved away may still run it.
-        return { kind: "broken", reason: reply.reason, hasRun: wasAborted };
-      case "answered": {
-        const { status, message, isNotRun, faultyTarget } = reply.response;
-        const limit = message.headers[this.services.headerNames.requestLimit];
-        if (this.dispatchTarget !== undefined)
-          this.services.requestLimiter.recordAnswer(
-            this.dispatchTarget,
-            limit?.toString(),
-            this.dispatchedAt,
-          );
-        if (status === 200 || !isNotRun) this.mayHaveRun = true;
-        if (status === 200) this.admission.recordAccepted(this.services.clock.monotonicTime());
-        if (status === 200) return this.forwardEvents(reply.response, watched);
-        const body = await readBody(reply.response, this.services.answerMemory);
-        if (isNotRun) {
-          const refusingTarget =
-            faultyTarget === undefined
-              ? first
-              : (targetRegistry.findByAddress(faultyTarget)?.name ?? first);
-          targetRegistry.recordRefusal(refusingTarget);
-          if (status === fullStatus)
-            this.admission.recordRefused(this.services.clock.monotonicTime());
-          this.excludedTargets.push(refusingTarget);
-          return { kind: "notRun", reason: `${refusingTarget} refused with status ${status}` };
-        }
-        if (body.isErr) return { kind: "broken", reason: body.error, hasRun: true };
-        return { kind: "failed", status, rawHeaders: message.rawHeaders, body: body.value };
-      }
+  // Ends the request after `outcome`, unless it can go on. Returns whether it has ended.
+  private finish(outcome: StreamOutcome): boolean {
+    const { request, services, executions } = this;
+    if (outcome.kind === "ended") {
+      this.endAnswer();
+      return true;
     }
+    if (this.isEnded()) return true;
+    const { route, deadline } = request;
+    const end = findAnswerEnd(
+      {
+        isResumable: isRetryable(route),
+        executions,
+        maximumAttempts: route.maximumAttempts,
+        deadline,
+      },
+      outcome,
+      services.clock.monotonicTime(),
+    );
+    if (end === undefined) return false;
+    if (this.answer.hasBegun) this.breakOff(end);
+    else if (outcome.kind === "failed") this.forwardFailure(outcome);
+    else throw this.createRefusal(getErrorKind(end), this.reason);
+    return true;
   }
 
-  private beginAnswer(message: http.IncomingMessage, isDelimited: boolean): void {
+  private beginAnswer({ message, isDelimited }: TargetResponse): void {
     if (this.answer.hasBegun) return;
     const framing = isDelimited ? "chunked" : "untilClose";
     this.answer.begin(200, responseHeaders(message.rawHeaders), { kind: framing });
   }
 
-  private forwardEvents(
-    { message, getConnectionError, isDelimited }: TargetResponse,
-    watched: WatchedDispatch,
-  ): Promise<StreamOutcome> {
-    const splitter = new EventSplitter(maximumEventBytes);
-    return new Promise((resolve) => {
-      const resolveBroken = (reason: string): void => {
-        resolve({ kind: "broken", reason, hasRun: true });
-        message.destroy();
-      };
-      message.on("data", (chunk: Buffer) => {
-        const events = splitter.push(chunk);
-        if (splitter.hasOversizedEvent) resolveBroken("an event exceeds the maximum size");
-        if (events.count === 0) return;
-        // Comments are no progress. Some streams have no identifiers at all.
-        const isProgress =
-          events.lastEventId === undefined
-            ? this.lastEventId === undefined
-            : events.lastEventId !== this.lastEventId;
-        this.lastEventId = events.lastEventId ?? this.lastEventId;
-        if (isProgress) this.lastEventAt = this.services.clock.monotonicTime();
-        this.firstEventAfter ??= this.lastEventAt - this.dispatchedAt;
-        this.start.recordEvents(this.lastEventAt);
-        this.beginAnswer(message, isDelimited);
-        if (isProgress) watched.recordProgress(this.lastEventAt);
-        if (this.answer.send(events.bytes)) return;
-        message.pause();
-        watched.suspend();
-        this.answer.onceRead(() => {
-          watched.resume(this.services.clock.monotonicTime());
-          message.resume();
-        });
-      });
-      message.on("error", (error) => {
-        resolveBroken(error.message);
-      });
-      let hasEnd = false;
-      message.on("close", () => {
-        if (!hasEnd) resolveBroken("the connection closed before the end of the stream");
-      });
-      message.on("end", () => {
-        if (!message.complete || getConnectionError() !== undefined || splitter.pendingBytes > 0) {
-          resolveBroken(getConnectionError() ?? "the stream ended within an event");
-          return;
-        }
-        hasEnd = true;
-        if (isDelimited) this.start.recordCompletion();
-        watched.suspend();
-        const ending = this.isEndOfTarget(isDelimited).then((isEndOfTarget) => {
-          if (isEndOfTarget) {
-            resolveBroken("the target ended, and with it the stream without a length");
-            return;
-          }
-          for (const { target } of this.path) this.services.targetRegistry.recordSuccess(target);
-          this.beginAnswer(message, isDelimited);
-          this.answer.end();
-          resolve({ kind: "ended" });
-        });
-        runDetached(this.services.logger, "end of a stream", ending);
-      });
-    });
+  private endAnswer(): void {
+    const { current } = this;
+    if (current?.response === undefined) return;
+    for (const { target } of current.path) this.services.targetRegistry.recordSuccess(target);
+    this.beginAnswer(current.response);
+    this.answer.end();
   }
 
-  // The end of a stream without a length looks the same whether the target has completed the
-  // stream or has ended itself.
-  private async isEndOfTarget(isDelimited: boolean): Promise<boolean> {
-    if (isDelimited || this.dispatchTarget === undefined) return false;
-    return this.services.crashReporter.hasEnded(this.dispatchTarget, silenceTimeout);
+  private forwardFailure({
+    status,
+    rawHeaders,
+    body,
+  }: Extract<StreamOutcome, { kind: "failed" }>): void {
+    this.answer.begin(status, responseHeaders(rawHeaders), { kind: "length", bytes: body.length });
+    this.answer.end(body);
   }
 
-  /// Moves the answer off the `excluded` targets: to another path behind the same first engine
-  /// if there is one, otherwise by resuming it on another path if `urgency` requires it.
-  async reroute(
-    excluded: readonly string[],
-    reason: string,
-    urgency: Urgency,
-    watched: WatchedDispatch,
-  ): Promise<void> {
-    const { targetRegistry, engines, logger, formatPath, clock } = this.services;
-    const firstPart = this.path[0];
-    const address = firstPart === undefined ? undefined : targetRegistry.get(firstPart.target);
-    if (firstPart === undefined || address === undefined || excluded.includes(firstPart.target)) {
-      this.redispatch(urgency, excluded);
-      return;
-    }
-    const path = this.paths.choose(firstPart, excluded);
-    if (path === undefined) return;
-    const change = await engines.changePath(
-      address,
-      this.request.id,
-      formatPath(path, targetRegistry),
-    );
-    logger.info("path changed", {
-      request: this.request.id,
-      avoid: excluded,
-      reason,
-      urgency,
-      path: path.map(({ target, first, end }) => `${target}:${first}-${end}`).join(" "),
-      outcome: change,
+  // Whether the request has ended. Breaks an answer off that has begun; throws if none has begun
+  // or if the caller has left.
+  private isEnded(): boolean {
+    const { signal } = this.request;
+    if (!signal.aborted) return false;
+    if (!this.answer.hasBegun || !isEndedByStop(signal))
+      throw createEndError(signal, this.mayHaveRun);
+    this.breakOff(AnswerEnd.VmStopping);
+    return true;
+  }
+
+  // Gives the request up if a part of its prompt is not admitted. An answer that has lived shows
+  // that its prompt is sound.
+  private isQuarantined(): boolean {
+    if (this.hasLived) return false;
+    const { quarantine, clock, logger, holdsTrial } = this.services;
+    const { id, sharedPromptParts } = this.request;
+    const admission = quarantine.admit(sharedPromptParts, clock.monotonicTime(), holdsTrial);
+    if (admission.kind === "admitted") return false;
+    const { kind, part, retryAfter } = admission;
+    logger.warn("prompt not admitted", { request: id, reason: kind, part });
+    this.reason = `Part ${part} is ${kind}.`;
+    if (!this.answer.hasBegun)
+      throw this.createRefusal(ErrorKind.PromptQuarantined, this.reason, retryAfter / 1_000);
+    this.breakOff(AnswerEnd.PromptQuarantined);
+    return true;
+  }
+
+  // Ends an answer that the caller is reading.
+  private breakOff(end: AnswerEnd): void {
+    const { id, deadline } = this.request;
+    const { clock, logger } = this.services;
+    const kind = getErrorKind(end);
+    logger.warn("stream broken off", {
+      request: id,
+      kind,
+      end,
+      reason: this.reason,
+      executions: this.executions,
+      dispatches: this.dispatches,
+      silence: roundTime(clock.monotonicTime() - this.lastEventAt),
+      timeLeft: roundTime(deadline - clock.monotonicTime()),
     });
-    switch (change.kind) {
-      case "changed":
-        this.path = path;
-        watched.recordReroute(path, clock.monotonicTime());
-        return;
-      case "refused":
-        if (change.target !== undefined) targetRegistry.recordRefusal(change.target);
-        break;
-      case "unknown":
-        break;
-    }
-    if (urgency === Urgency.Now) this.redispatch(urgency, excluded);
+    this.answer.abort(`${kind}: ${end}: ${this.reason}`);
   }
 
-  // Aborts the current dispatch if the request can be dispatched again now. Otherwise the dispatch
-  // goes on, because a silent engine may continue after a second or so.
-  private redispatch(urgency: Urgency, excluded: readonly string[]): void {
-    const { route } = this.request;
-    if (this.dispatchAbort === undefined || this.dispatchAbort.signal.aborted) return;
-    // The current dispatch counts as an execution.
-    if (!isRetryable(route) || this.executions + 1 >= route.maximumAttempts) return;
-    if (this.dispatches + 1 >= this.maximumDispatches) return;
-    if (!this.canReplace(urgency, excluded) || !this.spendRetry()) return;
-    this.isReplacementPaid = true;
-    this.dispatchAbort.abort();
+  // The error for a request whose answer has not begun.
+  private createRefusal(
+    kind: ErrorKind,
+    reason: string,
+    retryAfterSeconds = refusedRetryAfterSeconds,
+  ): RouterError {
+    if (!this.mayHaveRun) return new RouterError(kind, RunState.NotRun, reason, retryAfterSeconds);
+    const isNotRunKind =
+      kind === ErrorKind.NoPath ||
+      kind === ErrorKind.TargetUnreachable ||
+      kind === ErrorKind.TargetsLimited ||
+      kind === ErrorKind.PromptQuarantined;
+    return new RouterError(isNotRunKind ? ErrorKind.TargetFailed : kind, RunState.Unknown, reason);
   }
+}
 
-  // Whether `findPath` would find a path at once, or soon for an answer that has begun.
-  private canReplace(urgency: Urgency, excluded: readonly string[]): boolean {
-    switch (urgency) {
-      case Urgency.WhileItRuns:
-        return false;
-      case Urgency.Soon:
-        return this.paths.hasPathWithoutRefusing(excluded);
-      case Urgency.Now:
-        return this.answer.hasBegun
-          ? this.paths.hasPathWithoutRefusing(excluded)
-          : this.paths.hasPath([...this.excludedTargets, ...excluded]);
-    }
+function getErrorKind(end: AnswerEnd): ErrorKind {
+  switch (end) {
+    case AnswerEnd.DeadlinePassed:
+      return ErrorKind.DeadlineExceeded;
+    case AnswerEnd.NotResumable:
+    case AnswerEnd.AttemptsUsed:
+      return ErrorKind.TargetFailed;
+    case AnswerEnd.PromptQuarantined:
+      return ErrorKind.PromptQuarantined;
+    case AnswerEnd.VmStopping:
+      return ErrorKind.StoppedUnanswered;
   }
 }
 
+function formatParts(path: readonly PathPart[]): string {
+  return path.map(({ target, first, end }) => `${target}:${first}-${end}`).join(" ");
+}
+
 function roundTime(time: Milliseconds | undefined): Milliseconds | undefined {
   return time === undefined ? undefined : Math.round(time);
 }
--- a/packages/attempts/src/watched-dispatch.ts
+++ b/packages/attempts/src/watched-dispatch.ts
@@ -15,12 +15,7 @@
 /// A stream that can be moved to a path without the `excluded` targets. The promise resolves
 /// when the stream has been rerouted or the attempt has been given up.
 export interface Reroutable {
-  reroute(
-    excluded: readonly string[],
-    reason: string,
-    urgency: Urgency,
-    dispatch: WatchedDispatch,
-  ): Promise<void>;
+  reroute(excluded: readonly string[], reason: string, urgency: Urgency): Promise<void>;
 }
 
 /// The view that `StreamWatch` has of one dispatch of a stream.
@@ -75,7 +70,7 @@
   reroute(excluded: readonly string[], reason: string, urgency: Urgency): void {
     if (this.isRerouting) return;
     this.isRerouting = true;
-    void this.stream.reroute(excluded, reason, urgency, this).finally(() => {
+    void this.stream.reroute(excluded, reason, urgency).finally(() => {
       this.isRerouting = false;
     });
   }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -16,4 +16,4 @@
   type TargetRequest,
   type TargetResponse,
 } from "./target-exchange.js";
-export { EventSplitter } from "./event-splitter.js";
+export { EventSplitter, type CompleteEvents } from "./event-splitter.js";
