--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -24,6 +24,7 @@
 import { placeLayers } from "./place-layers.js";
 import { reviewQuarantine, storeVerdicts } from "./review-quarantine.js";
 import { exchangeRetryLoans } from "./retry-loans.js";
+import { RetryReport } from "./retry-report.js";
 import { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { Address, EntryDependencies } from "./entry-dependencies.js";
 import { GracefulStop } from "./graceful-stop.js";
@@ -69,6 +70,10 @@
   const connections = new TargetConnections();
   const metrics = new EntryMetrics();
   const budget = new SharedRetryBudget(dependencies.limits.retryBudget);
+  const retryReport = new RetryReport(metrics, clock, logger);
+  budget.onDecision = (decision) => {
+    retryReport.record(decision);
+  };
   targetRegistry.onSuspicion = () => {
     peers.triggerExchange();
   };
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -27,6 +27,11 @@
     "Requests whose connection ended before their answer was complete",
     ["stage", "closed_by"],
   );
+  private readonly retries = this.createCounter(
+    "retries_total",
+    "Retries asked of the retry budget, of streams that have begun (resume) and others (first)",
+    ["service", "purpose", "decision"],
+  );
   private readonly eraChanges = this.createCounter(
     "store_era_changes_total",
     "Times the store came back from a copy",
@@ -65,6 +70,10 @@
     this.unansweredRequests.inc({ stage, closed_by: closedBy });
   }
 
+  recordRetry(service: string, purpose: string, isGranted: boolean): void {
+    this.retries.inc({ service, purpose, decision: isGranted ? "granted" : "denied" });
+  }
+
   recordEraChange(): void {
     this.eraChanges.inc();
   }
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -19,5 +19,6 @@
 export {
   SharedRetryBudget,
   RetryPurpose,
+  type RetryDecision,
   type SharedRetryBudgetOptions,
 } from "./shared-retry-budget.js";
--- a/packages/limits/src/shared-retry-budget.ts
+++ b/packages/limits/src/shared-retry-budget.ts
@@ -19,6 +19,16 @@
   Resume = "resume",
 }
 
+/// Whether a retry was granted. `spent` is the number of retries within the window, with this one
+/// if it was granted, and `allowance` the number that this entry VM may send within it.
+export interface RetryDecision {
+  readonly service: string;
+  readonly purpose: RetryPurpose;
+  readonly isGranted: boolean;
+  readonly spent: number;
+  readonly allowance: number;
+}
+
 // Part of the slack stays unused, because an entry VM loses its count of sent retries in a
 // restart and its number of live entry VMs may be stale.
 const spendableSlackShare = 0.75;
@@ -39,6 +49,8 @@
 }
 
 export class SharedRetryBudget {
+  /// Called for each retry that is asked for.
+  onDecision: (decision: RetryDecision) => void = () => undefined;
   private readonly requestTimes = new Map<string, Milliseconds[]>();
   private readonly retryTimes = new Map<string, Milliseconds[]>();
   private readonly loans = new Map<string, Loan[]>();
@@ -55,9 +67,16 @@
   trySpend(service: string, entryVms: number, now: Milliseconds, purpose: RetryPurpose): boolean {
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
     const share = purpose === RetryPurpose.Start ? beforeAnswerShare : 1;
-    if (spent + 1 > allowance * share) return false;
-    pruneBefore(this.retryTimes, service, now - this.options.window).push(now);
-    return true;
+    const isGranted = spent + 1 <= allowance * share;
+    if (isGranted) pruneBefore(this.retryTimes, service, now - this.options.window).push(now);
+    this.onDecision({
+      service,
+      purpose,
+      isGranted,
+      spent: isGranted ? spent + 1 : spent,
+      allowance,
+    });
+    return isGranted;
   }
 
   /// Returns the services that have few retries left, for which this entry VM should borrow.
