limits: a loan of retries is not spent twice within a window

A borrower could spend a loan at the end of the window for which the lender counted it, and the lender could spend the same retries just after: 75 retries in 20 ms where two entry VMs may spend 60. A loan now lasts a tenth of the window, and the lender counts it for a window after that.

The test "lent retries return to the lender after a window" expected the return that made this possible. It now expects it a tenth of a window later, and that nothing returns before.

--- a/packages/limits/src/shared-retry-budget.ts
+++ b/packages/limits/src/shared-retry-budget.ts
@@ -3,6 +3,7 @@
 //! entry VM may send the ratio of its own requests plus an equal share of the slack, and
 //! borrows from the share of another entry VM when it runs short.
 import type { Milliseconds } from "@lovagebend/common";
+import { LoanBook } from "./loan-book.js";
 
 /// `ratio` is the number of retries per request and `slack` the number of further retries
 /// that a service may receive from all entry VMs within `window`.
@@ -20,7 +21,8 @@
 }
 
 /// Whether a retry was granted. `spent` is the number of retries within the window, with this one
-/// if it was granted, and `allowance` the number that this entry VM may send within it.
+/// if it was granted and with those lent, and `allowance` the number that this entry VM may send
+/// within it, without those borrowed.
 export interface RetryDecision {
   readonly service: string;
   readonly purpose: RetryPurpose;
@@ -42,38 +44,39 @@
 const borrowThreshold = 4;
 const borrowThresholdShare = 0.25;
 
-interface Loan {
-  readonly startedAt: Milliseconds;
-  /// Negative on the side of the lender.
-  readonly retries: number;
+interface ServiceState {
+  readonly requests: Milliseconds[];
+  /// Without those spent on loans, which the lender counts.
+  readonly retries: Milliseconds[];
+  readonly loans: LoanBook;
 }
 
 export class SharedRetryBudget {
   /// Called for each retry that is asked for.
   onDecision: (decision: RetryDecision) => void = () => undefined;
-  private readonly requestTimes = new Map<string, Milliseconds[]>();
-  private readonly retryTimes = new Map<string, Milliseconds[]>();
-  private readonly loans = new Map<string, Loan[]>();
+  private readonly services = new Map<string, ServiceState>();
 
   constructor(private readonly options: SharedRetryBudgetOptions) {}
 
   /// Records a request to `service`.
   recordRequest(service: string, now: Milliseconds): void {
-    pruneBefore(this.requestTimes, service, now - this.options.window).push(now);
+    this.getState(service, now).requests.push(now);
   }
 
   /// Returns whether a retry may be sent to `service`, and records it if so. `entryVms` is the
   /// number of entry VMs that share the slack.
   trySpend(service: string, entryVms: number, now: Milliseconds, purpose: RetryPurpose): boolean {
+    const { loans, retries } = this.getState(service, now);
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
     const share = purpose === RetryPurpose.Start ? beforeAnswerShare : 1;
-    const isGranted = spent + 1 <= allowance * share;
-    if (isGranted) pruneBefore(this.retryTimes, service, now - this.options.window).push(now);
+    const isOwn = spent + 1 <= allowance * share;
+    const isGranted = isOwn || loans.trySpend(now);
+    if (isOwn) retries.push(now);
     this.onDecision({
       service,
       purpose,
       isGranted,
-      spent: isGranted ? spent + 1 : spent,
+      spent: isOwn ? spent + 1 : spent,
       allowance,
     });
     return isGranted;
@@ -81,30 +84,31 @@
 
   /// Returns the services that have few retries left, for which this entry VM should borrow.
   findServicesRunningShort(entryVms: number, now: Milliseconds): string[] {
-    return [...this.retryTimes.keys()].filter((service) => {
+    return [...this.services.keys()].filter((service) => {
+      const { loans } = this.getState(service, now);
       const { spent, allowance } = this.computeUsage(service, entryVms, now);
       return (
         spent > 0 &&
-        allowance * beforeAnswerShare - spent <
+        allowance * beforeAnswerShare - spent + loans.countBorrowed(now) <
           Math.min(borrowThreshold, allowance * borrowThresholdShare)
       );
     });
   }
 
-  /// Lends a share of the remaining retries to another entry VM for one window. Returns the
-  /// number of retries that the borrower may send.
+  /// Lends a share of the remaining retries to another entry VM. Returns the number of retries
+  /// that the borrower may send.
   lend(service: string, entryVms: number, now: Milliseconds): number {
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
     const retries = Math.floor((allowance - spent) * lendableShare);
     if (retries <= 0) return 0;
-    this.recordLoan(service, { startedAt: now, retries: -retries });
+    this.getState(service, now).loans.lend(retries, now);
     return retries;
   }
 
   /// Records a loan from another entry VM. `requestedAt` is the time at which this entry VM
   /// requested it, so that the loan expires at the borrower before it expires at the lender.
   borrow(service: string, retries: number, requestedAt: Milliseconds): void {
-    if (retries > 0) this.recordLoan(service, { startedAt: requestedAt, retries });
+    if (retries > 0) this.getState(service, requestedAt).loans.borrow(retries, requestedAt);
   }
 
   private computeUsage(
@@ -112,36 +116,29 @@
     entryVms: number,
     now: Milliseconds,
   ): { readonly spent: number; readonly allowance: number } {
-    const windowStart = now - this.options.window;
-    const requestCount = pruneBefore(this.requestTimes, service, windowStart).length;
+    const { requests, retries, loans } = this.getState(service, now);
     const slack = (this.options.slack * spendableSlackShare) / Math.max(1, entryVms);
-    const netLoans = (this.loans.get(service) ?? [])
-      .filter(({ startedAt }) => startedAt >= windowStart)
-      .reduce((sum, { retries }) => sum + retries, 0);
     return {
-      spent: pruneBefore(this.retryTimes, service, windowStart).length,
-      allowance: requestCount * this.options.ratio + slack + netLoans,
+      spent: retries.length + loans.countLent(now),
+      allowance: requests.length * this.options.ratio + slack,
     };
   }
 
-  private recordLoan(service: string, loan: Loan): void {
-    const windowStart = loan.startedAt - this.options.window;
-    const currentLoans = (this.loans.get(service) ?? []).filter(
-      ({ startedAt }) => startedAt >= windowStart,
-    );
-    this.loans.set(service, [...currentLoans, loan]);
+  // The state of `service`, without what lies before the window.
+  private getState(service: string, now: Milliseconds): ServiceState {
+    const existing = this.services.get(service);
+    if (existing !== undefined) {
+      removeBefore(existing.requests, now - this.options.window);
+      removeBefore(existing.retries, now - this.options.window);
+      return existing;
+    }
+    const initial = { requests: [], retries: [], loans: new LoanBook(this.options.window) };
+    this.services.set(service, initial);
+    return initial;
   }
 }
 
-// Removes the times before `windowStart` and returns the array that remains in `times`.
-function pruneBefore(
-  times: Map<string, Milliseconds[]>,
-  service: string,
-  windowStart: Milliseconds,
-): Milliseconds[] {
-  const recentTimes = times.get(service) ?? [];
-  times.set(service, recentTimes);
-  const firstRecent = recentTimes.findIndex((time) => time >= windowStart);
-  recentTimes.splice(0, firstRecent === -1 ? recentTimes.length : firstRecent);
-  return recentTimes;
+function removeBefore(times: Milliseconds[], windowStart: Milliseconds): void {
+  const firstRecent = times.findIndex((time) => time >= windowStart);
+  times.splice(0, firstRecent === -1 ? times.length : firstRecent);
 }
--- a/packages/limits/test/shared-retry-budget.test.ts
+++ b/packages/limits/test/shared-retry-budget.test.ts
@@ -94,7 +94,7 @@
   },
 );
 
-t.test("lent retries return to the lender after a window", (t) => {
+t.test("lent retries return to the lender a window after they can last have been spent", (t) => {
   const lender = new SharedRetryBudget({ ratio: 0, window: 1_000, slack: 40 });
   t.equal(lender.lend("model", 1, 0), 15);
   const countSpent = (now: number) =>
@@ -102,7 +102,12 @@
       Boolean,
     ).length;
   t.equal(countSpent(10), 15);
-  t.equal(countSpent(1_011), 30);
+  t.equal(
+    countSpent(1_011),
+    15,
+    "the borrower may spend the loan until 100, a tenth of the window",
+  );
+  t.equal(countSpent(1_101), 15);
   t.end();
 });
 
