limits: begun streams have the first claim to the retry budget

30% of the budget was kept for them, whatever was open. With 30% of the engines silent and the others full, 6 of 15 streams that were hit got a retry at once; the requests that begin had spent the rest before.

--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -64,10 +64,17 @@
   answer: CallerAnswer,
   services: AttemptServices,
 ): Promise<void> {
-  await new StreamAnswer(request, answer, services).run();
+  const stream = new StreamAnswer(request, answer, services);
+  try {
+    await stream.run();
+  } finally {
+    stream.releaseClaim();
+  }
 }
 
 class StreamAnswer implements Reroutable {
+  /// Ends the claim of this answer to the retry budget, once it has begun.
+  releaseClaim: () => void = () => undefined;
   private lastEventId: string | undefined;
   private lastEventAt: Milliseconds = -Infinity;
   private path: readonly PathPart[] = [];
@@ -429,6 +436,7 @@
 
   private beginAnswer(message: http.IncomingMessage, isDelimited: boolean): void {
     if (this.answer.hasBegun) return;
+    this.releaseClaim = this.services.budget.recordBegun(this.request.service.name);
     const framing = isDelimited ? "chunked" : "untilClose";
     this.answer.begin(200, responseHeaders(message.rawHeaders), { kind: framing });
   }
--- a/packages/limits/src/shared-retry-budget.ts
+++ b/packages/limits/src/shared-retry-budget.ts
@@ -34,8 +34,12 @@
 // Part of the slack stays unused, because an entry VM loses its count of sent retries in a
 // restart and its number of live entry VMs may be stale.
 const spendableSlackShare = 0.75;
-// The share of the allowance that is available to answers that have not begun.
-const beforeAnswerShare = 0.7;
+// The share of the allowance that is available to answers that have not begun, without open answers
+// and with many.
+const maximumStartShare = 0.7;
+const minimumStartShare = 0.3;
+// An answer that waits for a retry asks several times within this time.
+const claimDuration: Milliseconds = 500;
 
 // A lender keeps half of its remaining retries.
 const lendableShare = 0.5;
@@ -49,6 +53,9 @@
   /// Without those spent on loans, which the lender counts.
   readonly retries: Milliseconds[];
   readonly loans: LoanBook;
+  /// The number of open answers that have begun.
+  begun: number;
+  resumeDeniedAt: Milliseconds;
 }
 
 export class SharedRetryBudget {
@@ -63,15 +70,28 @@
     this.getState(service, now).requests.push(now);
   }
 
+  /// Records that an answer of `service` has begun, which may need a retry to go on. The returned
+  /// function is called once, when the answer ends.
+  recordBegun(service: string): () => void {
+    const state = this.getState(service);
+    state.begun += 1;
+    return () => {
+      state.begun -= 1;
+    };
+  }
+
   /// Returns whether a retry may be sent to `service`, and records it if so. `entryVms` is the
-  /// number of entry VMs that share the slack.
+  /// number of entry VMs that share the slack. Answers that have begun have the first claim: the
+  /// others leave one retry for each of those that are open, and get none while one of those waits.
   trySpend(service: string, entryVms: number, now: Milliseconds, purpose: RetryPurpose): boolean {
-    const { loans, retries } = this.getState(service, now);
+    const state = this.getState(service, now);
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
-    const share = purpose === RetryPurpose.Start ? beforeAnswerShare : 1;
-    const isOwn = spent + 1 <= allowance * share;
-    const isGranted = isOwn || loans.trySpend(now);
-    if (isOwn) retries.push(now);
+    const isWithheld = purpose === RetryPurpose.Start && now - state.resumeDeniedAt < claimDuration;
+    const limit = getSpendable(purpose, allowance, state.begun);
+    const isOwn = !isWithheld && spent + 1 <= limit;
+    const isGranted = isOwn || (!isWithheld && state.loans.trySpend(now));
+    if (isOwn) state.retries.push(now);
+    if (!isGranted && purpose === RetryPurpose.Resume) state.resumeDeniedAt = now;
     this.onDecision({
       service,
       purpose,
@@ -89,7 +109,7 @@
       const { spent, allowance } = this.computeUsage(service, entryVms, now);
       return (
         spent > 0 &&
-        allowance * beforeAnswerShare - spent + loans.countBorrowed(now) <
+        allowance * maximumStartShare - spent + loans.countBorrowed(now) <
           Math.min(borrowThreshold, allowance * borrowThresholdShare)
       );
     });
@@ -125,19 +145,38 @@
   }
 
   // The state of `service`, without what lies before the window.
-  private getState(service: string, now: Milliseconds): ServiceState {
+  private getState(service: string, now: Milliseconds = -Infinity): ServiceState {
     const existing = this.services.get(service);
     if (existing !== undefined) {
       removeBefore(existing.requests, now - this.options.window);
       removeBefore(existing.retries, now - this.options.window);
       return existing;
     }
-    const initial = { requests: [], retries: [], loans: new LoanBook(this.options.window) };
+    const initial = {
+      requests: [],
+      retries: [],
+      loans: new LoanBook(this.options.window),
+      begun: 0,
+      resumeDeniedAt: -Infinity,
+    };
     this.services.set(service, initial);
     return initial;
   }
 }
 
+// The part of `allowance` that may be spent on `purpose` with `begun` open answers that have begun.
+function getSpendable(purpose: RetryPurpose, allowance: number, begun: number): number {
+  switch (purpose) {
+    case RetryPurpose.Resume:
+      return allowance;
+    case RetryPurpose.Start:
+      return Math.min(
+        allowance * maximumStartShare,
+        Math.max(allowance * minimumStartShare, allowance - begun),
+      );
+  }
+}
+
 function removeBefore(times: Milliseconds[], windowStart: Milliseconds): void {
   const firstRecent = times.findIndex((time) => time >= windowStart);
   times.splice(0, firstRecent === -1 ? times.length : firstRecent);
