entry: loans of retries are asked for at once, of several peers, as needed

With 90 entry VMs and half of the connections reset in one second, 29 begun streams were denied a retry while the fleet had spent 367 of some 600: each loan took the next poll, went to one peer of the same data centre, and tied up half of what that one had left for a window, 400 retries a second of loans for 97 that were sent.

--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
 } from "@lovagebend/common";
 import { AnswerMemory, TargetConnections } from "@lovagebend/forwarding";
-import { FairAdmissions, SharedRetryBudget } from "@lovagebend/limits";
+import { FairAdmissions, RetryPurpose, SharedRetryBudget } from "@lovagebend/limits";
 import { EngineFailureDetector, PlacementController } from "@lovagebend/placement";
 import { PromptQuarantine } from "@lovagebend/quarantine";
 import http from "node:http";
@@ -23,7 +23,7 @@
 import { Peers } from "./peers.js";
 import { placeLayers } from "./place-layers.js";
 import { reviewQuarantine, storeVerdicts } from "./review-quarantine.js";
-import { exchangeRetryLoans } from "./retry-loans.js";
+import { RetryLoans } from "./retry-loans.js";
 import { RetryReport } from "./retry-report.js";
 import { SharedRequestLimiter } from "./shared-request-limiter.js";
 import type { Address, EntryDependencies } from "./entry-dependencies.js";
@@ -71,8 +71,16 @@
   const metrics = new EntryMetrics();
   const budget = new SharedRetryBudget(dependencies.limits.retryBudget);
   const retryReport = new RetryReport(metrics, clock, logger);
+  const loans = new RetryLoans({
+    budget,
+    peers,
+    entryVmCount: () => peers.directory.count(),
+    clock,
+    logger,
+  });
   budget.onDecision = (decision) => {
     retryReport.record(decision);
+    if (!decision.isGranted && decision.purpose === RetryPurpose.Resume) loans.hasten();
   };
   targetRegistry.onSuspicion = () => {
     peers.triggerExchange();
@@ -189,7 +197,7 @@
   runTask("registration", (signal) =>
     peers.register(dependencies.store, dependencies.tables.entryVms, signal),
   );
-  runTask("retry loans", (signal) => exchangeRetryLoans({ budget, peers, clock, logger }, signal));
+  runTask("retry loans", (signal) => loans.run(signal));
   const quarantineParts = {
     quarantine,
     peers,
--- a/packages/entry/src/peer-choice.ts
+++ b/packages/entry/src/peer-choice.ts
@@ -33,12 +33,15 @@
     this.registeredVms.set(name, fact);
   }
 
-  /// The address of a random live peer, preferably in this data centre.
-  chooseLive(): string | undefined {
-    const live = this.directory.listLivePeers().filter(({ value }) => !value.isStopping);
-    const local = live.filter(({ value }) => value.dataCentre === this.identity.dataCentre);
-    const pool = local.length > 0 ? local : live;
-    return chooseRandom(pool)?.value.address;
+  /// The addresses of up to `count` random live peers of any data centre.
+  chooseSeveralLive(count: number): readonly string[] {
+    return this.directory
+      .listLivePeers()
+      .filter(({ value }) => !value.isStopping)
+      .map(({ value }) => ({ address: value.address, order: Math.random() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, count)
+      .map(({ address }) => address);
   }
 
   /// The address of the peer for the next exchange; `undefined` if none is known.
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -162,12 +162,16 @@
     this.server.addMethod(method, handler);
   }
 
-  /// Calls `method` of a random live peer, preferably in the same data centre. Returns
-  /// `undefined` if there is no live peer or it does not answer.
-  async callLivePeer(method: string, parameters: object, signal: AbortSignal): Promise<unknown> {
-    const address = this.choice.chooseLive();
-    if (address === undefined) return undefined;
-    return this.call(address, method, parameters, signal);
+  /// Calls `method` of up to `count` random live peers of any data centre, each with its own reply.
+  callLivePeers(
+    method: string,
+    parameters: object,
+    count: number,
+    signal: AbortSignal,
+  ): readonly Promise<unknown>[] {
+    return this.choice
+      .chooseSeveralLive(count)
+      .map((address) => this.call(address, method, parameters, signal));
   }
 
   private async call(
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -20,5 +20,6 @@
   SharedRetryBudget,
   RetryPurpose,
   type RetryDecision,
+  type RetryNeed,
   type SharedRetryBudgetOptions,
 } from "./shared-retry-budget.js";
--- a/packages/limits/src/shared-retry-budget.ts
+++ b/packages/limits/src/shared-retry-budget.ts
@@ -20,6 +20,13 @@
   Resume = "resume",
 }
 
+/// A loan that an entry VM should ask for.
+export interface RetryNeed {
+  readonly service: string;
+  readonly purpose: RetryPurpose;
+  readonly retries: number;
+}
+
 /// Whether a retry was granted. `spent` is the number of retries within the window, with this one
 /// if it was granted and with those lent, and `allowance` the number that this entry VM may send
 /// within it, without those borrowed.
@@ -47,6 +54,10 @@
 // allowance if that is less: with many entry VMs the whole allowance is a few retries.
 const borrowThreshold = 4;
 const borrowThresholdShare = 0.25;
+// A service that has asked for no retry for this time needs no loan.
+const needDuration: Milliseconds = 1_000;
+// A stream that waits for a retry asks once within this time.
+const waitInterval: Milliseconds = 100;
 
 interface ServiceState {
   readonly requests: Milliseconds[];
@@ -55,7 +66,9 @@
   readonly loans: LoanBook;
   /// The number of open answers that have begun.
   begun: number;
-  resumeDeniedAt: Milliseconds;
+  /// The times at which an answer that has begun was denied a retry.
+  readonly resumesDenied: Milliseconds[];
+  askedAt: Milliseconds;
 }
 
 export class SharedRetryBudget {
@@ -86,12 +99,15 @@
   trySpend(service: string, entryVms: number, now: Milliseconds, purpose: RetryPurpose): boolean {
     const state = this.getState(service, now);
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
-    const isWithheld = purpose === RetryPurpose.Start && now - state.resumeDeniedAt < claimDuration;
-    const limit = getSpendable(purpose, allowance, state.begun);
-    const isOwn = !isWithheld && spent + 1 <= limit;
-    const isGranted = isOwn || (!isWithheld && state.loans.trySpend(now));
+    state.askedAt = now;
+    const isWithheld = purpose === RetryPurpose.Start && isResumeWaiting(state, now);
+    // Loans are spent first, because they expire.
+    const isBorrowed = !isWithheld && state.loans.trySpend(now);
+    const isOwn =
+      !isWithheld && !isBorrowed && spent + 1 <= getSpendable(purpose, allowance, state.begun);
+    const isGranted = isBorrowed || isOwn;
     if (isOwn) state.retries.push(now);
-    if (!isGranted && purpose === RetryPurpose.Resume) state.resumeDeniedAt = now;
+    if (!isGranted && purpose === RetryPurpose.Resume) state.resumesDenied.push(now);
     this.onDecision({
       service,
       purpose,
@@ -102,26 +118,39 @@
     return isGranted;
   }
 
-  /// Returns the services that have few retries left, for which this entry VM should borrow.
-  findServicesRunningShort(entryVms: number, now: Milliseconds): string[] {
-    return [...this.services.keys()].filter((service) => {
-      const { loans } = this.getState(service, now);
+  /// Returns the loans that this entry VM should ask for: for the answers that wait for a retry, and
+  /// for the services that have few retries left.
+  findNeeds(entryVms: number, now: Milliseconds): RetryNeed[] {
+    return [...this.services.keys()].flatMap((service): RetryNeed[] => {
+      const { loans, resumesDenied, askedAt } = this.getState(service, now);
+      if (now - askedAt > needDuration) return [];
+      const borrowed = loans.countBorrowed(now);
+      const waiting = resumesDenied.filter((time) => now - time < waitInterval).length - borrowed;
+      if (waiting > 0) return [{ service, purpose: RetryPurpose.Resume, retries: waiting }];
       const { spent, allowance } = this.computeUsage(service, entryVms, now);
-      return (
-        spent > 0 &&
-        allowance * maximumStartShare - spent + loans.countBorrowed(now) <
-          Math.min(borrowThreshold, allowance * borrowThresholdShare)
-      );
+      const threshold = Math.min(borrowThreshold, allowance * borrowThresholdShare);
+      const remaining = allowance * maximumStartShare - spent + borrowed;
+      if (spent === 0 || remaining >= threshold) return [];
+      return [{ service, purpose: RetryPurpose.Start, retries: Math.ceil(threshold) }];
     });
   }
 
-  /// Lends a share of the remaining retries to another entry VM. Returns the number of retries
-  /// that the borrower may send.
-  lend(service: string, entryVms: number, now: Milliseconds): number {
+  /// Lends at most `wanted` of the remaining retries to another entry VM, which needs them for
+  /// `purpose`. Returns the number of retries that the borrower may send.
+  lend(
+    service: string,
+    entryVms: number,
+    now: Milliseconds,
+    wanted = Infinity,
+    purpose = RetryPurpose.Resume,
+  ): number {
+    const state = this.getState(service, now);
+    if (isResumeWaiting(state, now)) return 0;
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
-    const retries = Math.floor((allowance - spent) * lendableShare);
+    const remaining = Math.floor(getSpendable(purpose, allowance, state.begun) - spent);
+    const retries = Math.min(wanted, roundLoan(purpose, remaining * lendableShare));
     if (retries <= 0) return 0;
-    this.getState(service, now).loans.lend(retries, now);
+    state.loans.lend(retries, now);
     return retries;
   }
 
@@ -150,6 +179,7 @@
     if (existing !== undefined) {
       removeBefore(existing.requests, now - this.options.window);
       removeBefore(existing.retries, now - this.options.window);
+      removeBefore(existing.resumesDenied, now - claimDuration);
       return existing;
     }
     const initial = {
@@ -157,13 +187,28 @@
       retries: [],
       loans: new LoanBook(this.options.window),
       begun: 0,
-      resumeDeniedAt: -Infinity,
+      resumesDenied: [],
+      askedAt: -Infinity,
     };
     this.services.set(service, initial);
     return initial;
   }
 }
 
+function isResumeWaiting({ resumesDenied }: ServiceState, now: Milliseconds): boolean {
+  return resumesDenied.some((time) => now - time < claimDuration);
+}
+
+// The last retry is lent to an answer that waits for it, and kept from others.
+function roundLoan(purpose: RetryPurpose, retries: number): number {
+  switch (purpose) {
+    case RetryPurpose.Resume:
+      return Math.ceil(retries);
+    case RetryPurpose.Start:
+      return Math.floor(retries);
+  }
+}
+
 // The part of `allowance` that may be spent on `purpose` with `begun` open answers that have begun.
 function getSpendable(purpose: RetryPurpose, allowance: number, begun: number): number {
   switch (purpose) {
--- a/packages/limits/test/shared-retry-budget.test.ts
+++ b/packages/limits/test/shared-retry-budget.test.ts
@@ -46,7 +46,7 @@
     const hasFailure = receiverIndex === 0 || index % 10 === 0;
     if (!hasFailure) continue;
     const borrower = budgets[0];
-    for (const service of borrower?.findServicesRunningShort(entryVms, now) ?? []) {
+    for (const { service } of borrower?.findNeeds(entryVms, now) ?? []) {
       const lender = budgets[1 + (index % (entryVms - 1))];
       borrower?.borrow(service, lender?.lend(service, entryVms, now + 3) ?? 0, now);
     }
@@ -82,7 +82,7 @@
   "one of many entry VMs borrows when its few retries run low, not from the first retry on",
   (t) => {
     const budget = new SharedRetryBudget({ ratio: 0, window: 1_000, slack: 960 });
-    const isRunningShort = () => budget.findServicesRunningShort(90, 0).length > 0;
+    const isRunningShort = () => budget.findNeeds(90, 0).length > 0;
     const allowance = 8;
     const isShortBeforeRetry: boolean[] = [];
     for (let spent = 0; spent < allowance; spent += 1) {
