attempts: an engine that has refused is offered one stream at a time

Streams that are lost together chose the same path. Ten that wait for one engine now send it one offer, not ten, until it accepts.

--- a/packages/attempts/src/observed-target.ts
+++ b/packages/attempts/src/observed-target.ts
@@ -15,6 +15,8 @@
   readonly prefillTokensPerMillisecond: number;
   readonly suspectedUntil: Milliseconds;
   readonly refusingUntil: Milliseconds;
+  /// Until when an offer of this entry VM is on trial, which is the only one at a time.
+  readonly trialUntil: Milliseconds;
   /// Until when suspicions of other entry VMs are taken into account.
   readonly peerSuspectedUntil: Milliseconds;
   readonly load: number;
@@ -23,6 +25,11 @@
 // One entry VM of many receives only a few streams per second. The window is long enough to
 // contain some of them and shorter than an answer.
 const prefillRateWindow: Milliseconds = 2_000;
+// About the age of an engine's load report.
+const initialRefusalDuration: Milliseconds = 300;
+const maximumRefusalDuration: Milliseconds = 2_400;
+// A full engine refuses within this time.
+const trialDuration: Milliseconds = 100;
 
 /// What this entry VM has observed of the process of one target.
 export class TargetObservations {
@@ -31,10 +38,30 @@
   readonly prefillRate = new DecayingRate(prefillRateWindow);
   suspectedUntil: Milliseconds = -Infinity;
   refusingUntil: Milliseconds = -Infinity;
+  trialUntil: Milliseconds = -Infinity;
   peerSuspectedUntil: Milliseconds = -Infinity;
   consecutiveRefusals = 0;
   consecutiveFailures = 0;
   load = 0;
+
+  /// Records that a request is offered. To a target whose last answer was a refusal, it is a trial.
+  recordOffer(now: Milliseconds): void {
+    if (this.consecutiveRefusals > 0) this.trialUntil = now + trialDuration;
+  }
+
+  /// Records that the target accepted an offer.
+  recordAcceptance(): void {
+    this.trialUntil = -Infinity;
+  }
+
+  /// Records that the target refused an offer. The time for which others are preferred doubles with
+  /// each refusal until a success.
+  recordRefusal(now: Milliseconds): void {
+    if (this.refusingUntil > now) return;
+    const duration = initialRefusalDuration * 2 ** this.consecutiveRefusals;
+    this.refusingUntil = now + Math.min(maximumRefusalDuration, duration);
+    this.consecutiveRefusals += 1;
+  }
 }
 
 /// A view that costs nothing to hand out: each request looks at every target of its service
@@ -88,6 +115,10 @@
     return this.observations.refusingUntil;
   }
 
+  get trialUntil(): Milliseconds {
+    return this.observations.trialUntil;
+  }
+
   get peerSuspectedUntil(): Milliseconds {
     return this.observations.peerSuspectedUntil;
   }
--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -79,14 +79,17 @@
     for (;;) {
       const path = this.choose(undefined, excluded, notFirst);
       const first = path?.[0] === undefined ? undefined : targetRegistry.get(path[0].target);
-      if (first === undefined) return path;
+      if (path === undefined || first === undefined) return path;
+      // Before anything is awaited, so that streams that were lost together see each other's choice.
+      for (const { target } of path) targetRegistry.recordOffer(target);
       const outcome = await requestLimiter.acquire(first);
       if (outcome.kind === "allowed") return path;
       leaveOut(first.name, outcome.retryAfter);
     }
   }
 
-  /// Like `chooseWithinLimits`, without targets that recently refused requests.
+  /// Like `chooseWithinLimits`, without targets that recently refused requests. Those that are to
+  /// show whether they have room again are offered one request at a time.
   chooseWithoutRefusing(excluded: readonly string[]): Promise<readonly PathPart[] | undefined> {
     return this.chooseWithinLimits([...excluded, ...this.findRefusing()]);
   }
@@ -111,7 +114,7 @@
     const now = clock.monotonicTime();
     return targetRegistry
       .getServingTargets(this.service.name)
-      .filter(({ refusingUntil }) => refusingUntil > now)
+      .filter(({ refusingUntil, trialUntil }) => refusingUntil > now || trialUntil > now)
       .map(({ name }) => name);
   }
 
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -414,8 +414,11 @@
             this.dispatchedAt,
           );
         if (status === 200 || !isNotRun) this.mayHaveRun = true;
-        if (status === 200) this.admission.recordAccepted(this.services.clock.monotonicTime());
-        if (status === 200) return this.forwardEvents(reply.response, watched);
+        if (status === 200) {
+          this.admission.recordAccepted(this.services.clock.monotonicTime());
+          for (const { target } of this.path) targetRegistry.recordAcceptance(target);
+          return this.forwardEvents(reply.response, watched);
+        }
         const body = await readBody(reply.response, this.services.answerMemory);
         if (isNotRun) {
           const refusingTarget =
