--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -19,5 +19,7 @@
 export {
   SharedRetryBudget,
   RetryPurpose,
+  type RetryDecision,
+  type RetryNeed,
   type SharedRetryBudgetOptions,
 } from "./shared-retry-budget.js";
