entry: answers that are awaited come before the refusal of unreadable bytes

Callers saw: bytes that are no request (another protocol, a head that is too large, a malformed chunk, CONNECT), or a request that did not arrive in time, behind a request at work on the same connection: 400 or 431 in the place of the answer of a plain request that its target had run, a stream cut off in the middle, with CONNECT no answer at all. CONNECT alone was closed without a word.

Cause: Node's server answers a parser error at once and destroys the connection, whatever is awaited on it; without a listener it destroys the connection of a CONNECT request.

Change: unreadable-requests.ts takes these events. Requests that have been read as a whole get their answers, then the connection closes. Without any, the refusal is sent as before, and CONNECT gets 400. A log line names each.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -29,6 +29,7 @@
 import { OpenRequest, OpenRequests, type ConnectionEnd } from "./open-requests.js";
 import type { ReplicatedState } from "./replicated-state.js";
 import { routeRequest } from "./route-request.js";
+import { refuseUnreadable } from "./unreadable-requests.js";
 
 export interface CallerServerServices extends AttemptServices {
   readonly replicatedState: ReplicatedState;
@@ -62,6 +63,7 @@
         void this.handleRequest(request, response);
       },
     );
+    refuseUnreadable(this.server, this.openRequests, services.logger);
     this.server.on("connection", (socket) => {
       this.keptConnections.add(socket);
     });
--- a/packages/entry/src/open-requests.ts
+++ b/packages/entry/src/open-requests.ts
@@ -3,7 +3,7 @@
 import { RequestEnd, RequestProgress } from "@lovagebend/attempts";
 import type { Milliseconds } from "@lovagebend/common";
 import type http from "node:http";
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 
 /// Who ended the connection of a request. `callerClose` includes a caller that ended only its
 /// sending half, which reads the same. `entryVm` is without a reason if Node's server or the
@@ -40,7 +40,7 @@
 }
 
 export class OpenRequests {
-  private readonly requests = new Map<Socket, Set<OpenRequest>>();
+  private readonly requests = new Map<Duplex, Set<OpenRequest>>();
 
   /// `onUnanswered` is called once for each request whose connection ends before its answer has
   /// been handed to the operating system as a whole.
@@ -58,14 +58,19 @@
   }
 
   /// Whether a request on `socket` has no complete answer yet.
-  has(socket: Socket): boolean {
+  has(socket: Duplex): boolean {
     return (this.requests.get(socket)?.size ?? 0) > 0;
   }
 
+  /// The requests on `socket`, in their order.
+  listOn(socket: Duplex): OpenRequest[] {
+    return [...(this.requests.get(socket) ?? [])];
+  }
+
   /// Tracks `request` until its answer is complete or `socket` is closed. Node reports a closed
   /// connection only to the first of the responses that are open on it, so this is observed on the
   /// socket.
-  add(request: OpenRequest, socket: Socket): void {
+  add(request: OpenRequest, socket: Duplex): void {
     const requests = this.requests.get(socket) ?? this.track(socket);
     requests.add(request);
     request.response.once("finish", () => {
@@ -73,7 +78,7 @@
     });
   }
 
-  private track(socket: Socket): Set<OpenRequest> {
+  private track(socket: Duplex): Set<OpenRequest> {
     const requests = new Set<OpenRequest>();
     let error: NodeJS.ErrnoException | undefined;
     this.requests.set(socket, requests);
@@ -93,7 +98,7 @@
 
 function findConnectionEnd(
   { endReason }: OpenRequest,
-  socket: Socket,
+  socket: Duplex,
   error: NodeJS.ErrnoException | undefined,
 ): ConnectionEnd {
   if (endReason !== undefined) return { kind: "entryVm", reason: endReason };
