entry: in a stop, the last request of a connection closes it

Callers saw: with a second request sent behind one at work on a kept connection in a planned stop, the first answer said "Connection: close" and the connection closed, while the second request had been passed on and run: no answer. So did a request that came behind an answer which closes its connection.

Cause: each answer in a stop closed the connection, whatever else was awaited on it; requests behind such an answer were passed on.

Change: only the answer to the last request that has arrived on the connection closes it. A request that comes later is not passed on, since its answer could not be sent; its caller may repeat it.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -101,10 +101,11 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const { clock, gracefulStop, logger, metrics } = this.services;
+    const { clock, logger, metrics } = this.services;
     const receivedAt = clock.monotonicTime();
     const id = request.headers[this.services.headerNames.requestId]?.toString();
     const open = new OpenRequest(id, response, receivedAt);
+    const comesTooLate = this.openRequests.isLastAnnounced(request.socket);
     this.openRequests.add(open, request.socket);
     this.keptConnections.beginRequest(request.socket);
     this.keepIdleTimeout(open, request.socket);
@@ -115,7 +116,7 @@
     const answer = new HttpCallerAnswer(
       response,
       () => clock.monotonicTime(),
-      () => gracefulStop.isStopping,
+      () => this.announcesLast(open, request.socket),
       (reason) => {
         open.endReason = reason;
       },
@@ -123,6 +124,8 @@
     let routed: RoutedRequest | undefined;
     let refusal: RouterError | undefined;
     try {
+      // Its answer could not be sent any more, so that no target may run it.
+      if (comesTooLate) throw new RouterError(ErrorKind.Stopping, RunState.NotRun);
       routed = await this.route(request, open);
       if (await hasCallerLeft(request))
         throw new RouterError(ErrorKind.CallerGone, RunState.NotRun);
@@ -193,6 +196,15 @@
     });
   }
 
+  // Whether the answer to `open` is to say that the connection closes behind it. In a stop, that is the
+  // answer to the last request which has arrived on it.
+  private announcesLast(open: OpenRequest, socket: Socket): boolean {
+    if (!this.services.gracefulStop.isStopping || this.openRequests.listOn(socket).at(-1) !== open)
+      return false;
+    open.announcesLast = true;
+    return true;
+  }
+
   private async route(request: http.IncomingMessage, open: OpenRequest): Promise<RoutedRequest> {
     const { replicatedState, headerNames } = this.services;
     this.assertAccepting(open.receivedAt);
@@ -251,7 +263,7 @@
     const headers: http.OutgoingHttpHeaders = { "content-type": "application/json" };
     if (error.retryAfterSeconds !== undefined)
       headers["retry-after"] = String(error.retryAfterSeconds);
-    if (!request.complete || this.services.gracefulStop.isStopping) headers.connection = "close";
+    if (!request.complete || this.announcesLast(open, request.socket)) headers.connection = "close";
     const body = JSON.stringify({
       error: { kind: error.kind, run: error.run, message: error.message },
     });
--- a/packages/entry/src/open-requests.ts
+++ b/packages/entry/src/open-requests.ts
@@ -20,6 +20,8 @@
   route: string | undefined;
   /// Why this entry VM ends the connection. To be set before it does so.
   endReason: string | undefined;
+  /// Whether the answer says that this entry VM closes the connection behind it.
+  announcesLast = false;
   private readonly controller = new AbortController();
 
   constructor(
@@ -62,6 +64,11 @@
     return (this.requests.get(socket)?.size ?? 0) > 0;
   }
 
+  /// Whether an answer that closes `socket` is being sent.
+  isLastAnnounced(socket: Duplex): boolean {
+    return this.listOn(socket).some(({ announcesLast }) => announcesLast);
+  }
+
   /// The requests on `socket`, in their order.
   listOn(socket: Duplex): OpenRequest[] {
     return [...(this.requests.get(socket) ?? [])];
