entry: a refusal before the whole body discards the rest of it

Callers saw: a caller that writes its whole request before it reads got a reset connection in place of 413 for a body that is too large, or of 503 from an entry VM that does not know the settings yet.

Cause: the connection closed behind the refusal while bytes were still arriving, which resets it. For chunks above the limit, the end of the reading destroyed the connection before the refusal was written.

--- a/packages/common/src/read-body.ts
+++ b/packages/common/src/read-body.ts
@@ -19,7 +19,9 @@
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
+    // The connection stays open for the refusal of a body that is too large.
+    const readChunks = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
+    for await (const chunk of readChunks) {
       receivedBytes += chunk.length;
       if (receivedBytes > maximumBytes) return Result.err(createTooLargeError(maximumBytes));
       chunks.push(chunk);
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -29,6 +29,7 @@
 import { OpenRequest, OpenRequests, type ConnectionEnd } from "./open-requests.js";
 import type { ReplicatedState } from "./replicated-state.js";
 import { routeRequest } from "./route-request.js";
+import { endAfterBody } from "./unread-body.js";
 import { refuseUnreadable } from "./unreadable-requests.js";
 
 export interface CallerServerServices extends AttemptServices {
@@ -267,7 +268,14 @@
     const body = JSON.stringify({
       error: { kind: error.kind, run: error.run, message: error.message },
     });
-    response.writeHead(status, { ...headers, "content-length": Buffer.byteLength(body) }).end(body);
+    response.writeHead(status, { ...headers, "content-length": Buffer.byteLength(body) });
+    if (request.complete) {
+      response.end(body);
+      return;
+    }
+    response.write(body);
+    this.openRequests.recordAnswered(open, request.socket);
+    endAfterBody(request, response);
   }
 }
 
--- a/packages/entry/src/open-requests.ts
+++ b/packages/entry/src/open-requests.ts
@@ -85,6 +85,11 @@
     });
   }
 
+  /// Records that the whole answer has been sent, although its response has not ended.
+  recordAnswered(request: OpenRequest, socket: Duplex): void {
+    this.requests.get(socket)?.delete(request);
+  }
+
   private track(socket: Duplex): Set<OpenRequest> {
     const requests = new Set<OpenRequest>();
     let error: NodeJS.ErrnoException | undefined;
