forwarding: one owner ends each exchange at its deadline

Callers saw requests that were never answered, long after the timeout of their route: those whose answer was truncated on an open connection, and those whose replica answered with a protocol switch (status 101) that nobody asked for.

Cause: the end of an exchange depended on something else than its deadline. After a protocol switch, Node's client closes the connection and reports neither an answer nor an error, so that neither the deadline nor the caller's leaving could end the wait.

Change: ExchangeEnd holds a timer of its own for each exchange with a target, of plain requests and of streams. At the deadline or when the exchange is cancelled it resolves the wait for the head and for the body itself, and closes the connection. A connection that closes without an answer ends the exchange too.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -201,7 +201,6 @@
   const sentAt = clock.monotonicTime();
   const remainingTime = request.deadline - sentAt;
   const release = targetRegistry.begin(target.name, 1);
-  const timeout = AbortSignal.timeout(Math.max(1, Math.floor(remainingTime)));
   try {
     const reply = await sendToTarget(
       {
@@ -217,7 +216,8 @@
         ),
         body: request.body,
         requiresNewConnection: !isRetryable(request.route),
-        signal: AbortSignal.any([request.signal, timeout]),
+        timeLeft: remainingTime,
+        signal: request.signal,
       },
       connections,
       headerNames,
@@ -227,10 +227,7 @@
         if (!request.signal.aborted) targetRegistry.suspect(target.name, reply.reason);
         return { kind: "notRun", reason: reply.reason };
       case "unknown":
-        return {
-          kind: "unknown",
-          reason: timeout.aborted ? "no answer before the deadline" : reply.reason,
-        };
+        return { kind: "unknown", reason: reply.reason };
       case "answered": {
         const { status, message, isNotRun, isDelimited } = reply.response;
         const limit = message.headers[headerNames.requestLimit];
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -365,6 +365,7 @@
             ),
             body: request.body,
             requiresNewConnection: false,
+            timeLeft: remainingTime,
             signal: this.dispatchAbort.signal,
           },
           connections,
--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -4,6 +4,7 @@
 import http from "node:http";
 import { Result } from "true-myth";
 import type { AnswerMemory } from "./answer-memory.js";
+import { ExchangeEnd } from "./exchange-end.js";
 import type { HeaderNames } from "./header-names.js";
 import type { TargetConnections } from "./target-connections.js";
 
@@ -18,6 +19,9 @@
   /// Whether to open a new connection. On a keep-alive connection that the target is closing,
   /// the outcome of the request would be unknown.
   readonly requiresNewConnection: boolean;
+  /// The time until the deadline, at which the exchange ends, its answer read or not.
+  readonly timeLeft: Milliseconds;
+  /// Ends the exchange before its deadline.
   readonly signal: AbortSignal;
 }
 
@@ -34,6 +38,9 @@
   /// The error of the connection, if it has failed. Node's client reports an answer without a
   /// length as complete even if its connection was reset.
   readonly getConnectionError: () => string | undefined;
+  /// Calls back when the exchange ends at its deadline or by its signal, with the reason. Does not
+  /// depend on the connection or on `message`, which may report nothing any more.
+  readonly onEnd: (callback: (reason: string) => void) => void;
 }
 
 /// `notSent`: no connection was established, so the target cannot run the request.
@@ -55,8 +62,8 @@
 // before a head nor the heads of interim responses together.
 const maximumBytesBeforeAnswer = 64 * 1024;
 
-/// Sends `request`. Never throws; if its signal is aborted, the result is `unknown` or
-/// `notSent`.
+/// Sends `request`. Never throws; if its signal is aborted or its time is over, the result is
+/// `unknown` or `notSent`.
 export function sendToTarget(
   request: TargetRequest,
   connections: TargetConnections,
@@ -76,7 +83,6 @@
         headers: request.headers,
         agent: request.requiresNewConnection ? false : agent,
         setHost: false,
-        signal: request.signal,
       });
     } catch (error) {
       // An address or a header that Node does not accept.
@@ -84,10 +90,12 @@
       return;
     }
     const fail = (reason: string): void => {
-      connectionError = reason;
+      connectionError ??= reason;
       clearTimeout(timer);
       resolve({ kind: isConnected ? "unknown" : "notSent", reason });
     };
+    const end = new ExchangeEnd(request.timeLeft, request.signal);
+    let incoming: http.IncomingMessage | undefined;
     const timer = setTimeout(() => {
       if (isConnected) return;
       fail(`no connection within ${connectTimeout} ms`);
@@ -107,6 +115,15 @@
     outgoing.on("error", (error) => {
       fail(error.message);
     });
+    outgoing.on("close", () => {
+      if (incoming !== undefined) return;
+      fail("the connection closed without an answer");
+      end.release();
+    });
+    outgoing.on("upgrade", (_message, socket) => {
+      fail("a protocol switch that was not requested");
+      socket.destroy();
+    });
     limitBytesBeforeAnswer(outgoing, () => {
       fail(`more than ${maximumBytesBeforeAnswer} bytes before the head of an answer`);
       outgoing.destroy();
@@ -120,6 +137,10 @@
     });
     outgoing.on("response", (message) => {
       clearTimeout(timer);
+      incoming = message;
+      message.on("close", () => {
+        end.release();
+      });
       const { statusCode: status = 0, headers } = message;
       const echoedId = headers[headerNames.requestId];
       if (echoedId !== undefined && echoedId !== request.id) {
@@ -144,9 +165,17 @@
           isDelimited:
             headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
           getConnectionError: () => connectionError,
+          onEnd: (callback) => {
+            end.onEnd(callback);
+          },
         },
       });
     });
+    end.onEnd((reason) => {
+      fail(reason);
+      incoming?.destroy(new Error(reason));
+      outgoing.destroy();
+    });
     outgoing.end(request.body);
   });
 }
@@ -172,10 +201,10 @@
 const maximumAnswerBytes = 16 * 1024 * 1024;
 
 /// Reads the complete body of an answer. Returns an error if the connection fails or closes
-/// before the end of the answer, if the answer exceeds the maximum size, or if it is among the
-/// largest when the answers that are being read exceed `memory`.
+/// before the end of the answer, if the exchange ends, if the answer exceeds the maximum size, or
+/// if it is among the largest when the answers that are being read exceed `memory`.
 export function readBody(
-  { message, getConnectionError }: TargetResponse,
+  { message, getConnectionError, onEnd }: TargetResponse,
   memory: AnswerMemory,
 ): Promise<Result<Buffer, string>> {
   return new Promise((resolve) => {
@@ -200,6 +229,7 @@
     message.on("error", (error) => {
       giveUp(error.message);
     });
+    onEnd(giveUp);
     const finish = (): void => {
       share.release();
       const isWhole = message.complete && getConnectionError() === undefined;
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -190,6 +190,7 @@
         headers: {},
         body: Buffer.alloc(0),
         requiresNewConnection: false,
+        timeLeft: 5_000,
         signal: new AbortController().signal,
         ...overrides,
       },
