attempts: a refusal counts once its head has been read

Callers waited until their deadline, and then got 503, when a replica refused a plain request and held the end of the refusal's body back, although another replica could have served it.

Cause: dispatch read the whole body before it looked at the header that states that the request did not run.

Change: the head decides.

Evidence: the four tests "a refusal without its end counts" failed before (3.0 s and 503 with another replica free) and pass now, in 50 to 65 ms. The other tests of plain requests pass. endless-bytes.test.ts passed in two runs by itself and failed in one beside other test files, at "the readiness check is answered" after blank lines before the head of a stream; that failure is not traced.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -2,7 +2,13 @@
 //! sent to the caller. A retryable request is dispatched to another target when one fails;
 //! any other request is dispatched again only if the target proved that it did not run.
 import { isRetryable } from "@lovagebend/catalog";
-import { ErrorKind, RouterError, RunState, type Milliseconds } from "@lovagebend/common";
+import {
+  ErrorKind,
+  RouterError,
+  runDetached,
+  RunState,
+  type Milliseconds,
+} from "@lovagebend/common";
 import { responseHeaders, requestHeaders, readBody, sendToTarget } from "@lovagebend/forwarding";
 import { RetryPurpose } from "@lovagebend/limits";
 import { chooseReplica } from "./choose-replica.js";
@@ -233,8 +239,13 @@
         const limit = message.headers[headerNames.requestLimit];
         services.requestLimiter.recordAnswer(target, limit?.toString(), sentAt);
         recordReportedLoad(target.name, message.headers[headerNames.load], targetRegistry);
-        const body = await readBody(reply.response, services.answerMemory);
-        if (isNotRun) return { kind: "notRun", reason: `refused with status ${status}` };
+        const reading = readBody(reply.response, services.answerMemory);
+        if (isNotRun) {
+          // Its connection can be kept once the rest has arrived, which nobody waits for.
+          runDetached(services.logger, "rest of a refusal", reading);
+          return { kind: "notRun", reason: `refused with status ${status}` };
+        }
+        const body = await reading;
         if (body.isErr) return { kind: "unknown", reason: body.error };
         return {
           kind: "whole",
