--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -44,7 +44,6 @@
   Replaced = "another engine has continued the stream",
   Superfluous = "the engine before it goes on",
   EngineLeaves = "its engine is leaving",
-  DeadlinePassed = "the deadline has passed",
   RequestEnded = "the request has ended",
 }
 
@@ -98,6 +97,11 @@
     return this.abort.signal.aborted;
   }
 
+  // Whether this entry VM has ended the exchange, by dropping the dispatch or at the deadline.
+  private get isOwnEnd(): boolean {
+    return this.isDropped || this.services.clock.monotonicTime() >= this.request.deadline;
+  }
+
   /// Begins to watch the dispatch for stalls and for targets that leave.
   watch(): void {
     if (!this.isOver) this.unwatch ??= this.services.watch.add(this.watched);
@@ -120,12 +124,6 @@
   private async run(): Promise<StreamOutcome> {
     const { request, services, path } = this;
     const remainingTime = request.deadline - this.dispatchedAt;
-    const timeout = setTimeout(
-      () => {
-        this.drop(DispatchEnd.DeadlinePassed);
-      },
-      Math.max(1, remainingTime),
-    );
     const endWithRequest = (): void => {
       this.drop(DispatchEnd.RequestEnded);
     };
@@ -137,7 +135,6 @@
       return await this.handleReply(await this.send(remainingTime));
     } finally {
       this.unwatch?.();
-      clearTimeout(timeout);
       request.signal.removeEventListener("abort", endWithRequest);
       for (const release of releases) release();
     }
@@ -166,6 +163,7 @@
         ),
         body: request.body,
         requiresNewConnection: false,
+        timeLeft: remainingTime,
         signal: this.abort.signal,
       },
       connections,
@@ -178,13 +176,13 @@
     const { targetRegistry } = services;
     switch (reply.kind) {
       case "notSent":
-        if (!this.isDropped) targetRegistry.suspect(target.name, reply.reason);
+        if (!this.isOwnEnd) targetRegistry.suspect(target.name, reply.reason);
         return { kind: "notRun", reason: this.explain(reply.reason) };
       case "unknown":
-        if (!this.isDropped) targetRegistry.suspect(target.name, reply.reason);
+        if (!this.isOwnEnd) targetRegistry.suspect(target.name, reply.reason);
         this.mayHaveRun = true;
         // A silent engine from which the stream is moved away may still run it.
-        return this.createBroken(reply.reason, this.isDropped);
+        return this.createBroken(reply.reason, this.isOwnEnd);
       case "answered":
         return this.handleAnswer(reply.response);
     }
@@ -275,7 +273,7 @@
   }
 
   private createBroken(reason: string, hasRun: boolean): StreamOutcome {
-    return { kind: "broken", reason: this.explain(reason), hasRun, isOwnEnd: this.isDropped };
+    return { kind: "broken", reason: this.explain(reason), hasRun, isOwnEnd: this.isOwnEnd };
   }
 
   // The error of an exchange that this entry VM ended says only that it was aborted.
