attempts: streams that are lost together try an engine three at a time

Streams lost at one moment chose the same path before any of them had been refused. Beyond three repeated offers in 30 ms an engine is left alone until it accepts or the 30 ms are over; other engines are chosen meanwhile. Ten streams before one engine: 3 offers, not 10.

--- a/packages/attempts/src/observed-target.ts
+++ b/packages/attempts/src/observed-target.ts
@@ -15,7 +15,7 @@
   readonly prefillTokensPerMillisecond: number;
   readonly suspectedUntil: Milliseconds;
   readonly refusingUntil: Milliseconds;
-  /// Until when an offer of this entry VM is on trial, which is the only one at a time.
+  /// Until when offers of this entry VM are on trial, and others wait for the answer.
   readonly trialUntil: Milliseconds;
   /// Until when suspicions of other entry VMs are taken into account.
   readonly peerSuspectedUntil: Milliseconds;
@@ -28,8 +28,11 @@
 // About the age of an engine's load report.
 const initialRefusalDuration: Milliseconds = 300;
 const maximumRefusalDuration: Milliseconds = 2_400;
-// A full engine refuses within this time.
+// A full engine refuses within this time, mostly within the shorter one.
 const trialDuration: Milliseconds = 100;
+const shortTrialDuration: Milliseconds = 30;
+// Streams that were lost together are offered to an engine that has not refused this many at a time.
+const retriesAtOnce = 3;
 
 /// What this entry VM has observed of the process of one target.
 export class TargetObservations {
@@ -43,15 +46,24 @@
   consecutiveRefusals = 0;
   consecutiveFailures = 0;
   load = 0;
+  /// The times of the latest repeated offers that no answer has followed yet.
+  private retryTimes: Milliseconds[] = [];
 
-  /// Records that a request is offered. To a target whose last answer was a refusal, it is a trial.
-  recordOffer(now: Milliseconds): void {
+  /// Records that a request is offered, a repeated one if `isRetry`. Offers to a target whose last
+  /// answer was a refusal are on trial, and so are several repeated ones at a time.
+  recordOffer(now: Milliseconds, isRetry: boolean): void {
     if (this.consecutiveRefusals > 0) this.trialUntil = now + trialDuration;
+    if (!isRetry) return;
+    this.retryTimes = this.retryTimes.filter((time) => now - time < shortTrialDuration);
+    this.retryTimes.push(now);
+    if (this.retryTimes.length >= retriesAtOnce)
+      this.trialUntil = Math.max(this.trialUntil, now + shortTrialDuration);
   }
 
-  /// Records that the target accepted an offer.
+  /// Records that the target accepted an offer, which ends the trial.
   recordAcceptance(): void {
     this.trialUntil = -Infinity;
+    this.retryTimes = [];
   }
 
   /// Records that the target refused an offer. The time for which others are preferred doubles with
--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -269,9 +269,9 @@
     this.getObservations(name).recordRefusal(this.clock.monotonicTime());
   }
 
-  /// Records that a request is about to be offered to a target.
-  recordOffer(name: string): void {
-    this.getObservations(name).recordOffer(this.clock.monotonicTime());
+  /// Records that a request is about to be offered to a target, a repeated one if `isRetry`.
+  recordOffer(name: string, isRetry: boolean): void {
+    this.getObservations(name).recordOffer(this.clock.monotonicTime(), isRetry);
   }
 
   /// Records that a target accepted an offer.
--- a/packages/attempts/test/trial-offers.test.ts
+++ b/packages/attempts/test/trial-offers.test.ts
@@ -70,13 +70,15 @@
       recordAnswer: discard,
     },
   };
-  const paths = new StreamPaths(service, services as AttemptServices);
-  // How many of ten streams that were lost together are offered at `time`.
+  const streams = Array.from(
+    { length: 10 },
+    () => new StreamPaths(service, services as AttemptServices),
+  );
+  // How many of ten streams, each lost together with the others after the first time, are offered at
+  // `time`.
   const countOffered = async (time: number): Promise<number> => {
     now = time;
-    const offers = await Promise.all(
-      Array.from({ length: 10 }, () => paths.chooseWithoutRefusing([])),
-    );
+    const offers = await Promise.all(streams.map((paths) => paths.chooseWithoutRefusing([])));
     return offers.filter((path) => path !== undefined).length;
   };
   return { targetRegistry, countOffered };
@@ -115,3 +117,15 @@
   targetRegistry.recordSuccess("middle");
   t.equal(await countOffered(412), 10, "a stream has ended whole");
 });
+
+t.test("three of the streams that are lost together show whether an engine has room", async (t) => {
+  const { targetRegistry, countOffered } = createPaths();
+  t.equal(await countOffered(0), 10, "the first offers");
+  t.equal(await countOffered(1_000), 3);
+  t.equal(await countOffered(1_020), 0);
+  t.equal(await countOffered(1_031), 3);
+  targetRegistry.recordAcceptance("middle");
+  t.equal(await countOffered(1_040), 3);
+  targetRegistry.recordRefusal("middle");
+  t.equal(await countOffered(1_300), 0, "seven were spared this");
+});
