--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -64,17 +64,10 @@
   answer: CallerAnswer,
   services: AttemptServices,
 ): Promise<void> {
-  const stream = new StreamAnswer(request, answer, services);
-  try {
-    await stream.run();
-  } finally {
-    stream.releaseClaim();
-  }
+  await new StreamAnswer(request, answer, services).run();
 }
 
 class StreamAnswer implements Reroutable {
-  /// Ends the claim of this answer to the retry budget, once it has begun.
-  releaseClaim: () => void = () => undefined;
   private lastEventId: string | undefined;
   private lastEventAt: Milliseconds = -Infinity;
   private path: readonly PathPart[] = [];
@@ -439,7 +432,6 @@
 
   private beginAnswer(message: http.IncomingMessage, isDelimited: boolean): void {
     if (this.answer.hasBegun) return;
-    this.releaseClaim = this.services.budget.recordBegun(this.request.service.name);
     const framing = isDelimited ? "chunked" : "untilClose";
     this.answer.begin(200, responseHeaders(message.rawHeaders), { kind: framing });
   }
--- a/packages/limits/src/shared-retry-budget.ts
+++ b/packages/limits/src/shared-retry-budget.ts
@@ -41,10 +41,8 @@
 // Part of the slack stays unused, because an entry VM loses its count of sent retries in a
 // restart and its number of live entry VMs may be stale.
 const spendableSlackShare = 0.75;
-// The share of the allowance that is available to answers that have not begun, without open answers
-// and with many.
-const maximumStartShare = 0.7;
-const minimumStartShare = 0.3;
+// The share of the allowance that is available to answers that have not begun.
+const beforeAnswerShare = 0.7;
 // An answer that waits for a retry asks several times within this time.
 const claimDuration: Milliseconds = 500;
 
@@ -64,8 +62,6 @@
   /// Without those spent on loans, which the lender counts.
   readonly retries: Milliseconds[];
   readonly loans: LoanBook;
-  /// The number of open answers that have begun.
-  begun: number;
   /// The times at which an answer that has begun was denied a retry.
   readonly resumesDenied: Milliseconds[];
   askedAt: Milliseconds;
@@ -83,19 +79,9 @@
     this.getState(service, now).requests.push(now);
   }
 
-  /// Records that an answer of `service` has begun, which may need a retry to go on. The returned
-  /// function is called once, when the answer ends.
-  recordBegun(service: string): () => void {
-    const state = this.getState(service);
-    state.begun += 1;
-    return () => {
-      state.begun -= 1;
-    };
-  }
-
   /// Returns whether a retry may be sent to `service`, and records it if so. `entryVms` is the
   /// number of entry VMs that share the slack. Answers that have begun have the first claim: the
-  /// others leave one retry for each of those that are open, and get none while one of those waits.
+  /// others leave a part of the allowance, and get none while one of those waits.
   trySpend(service: string, entryVms: number, now: Milliseconds, purpose: RetryPurpose): boolean {
     const state = this.getState(service, now);
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
@@ -103,8 +89,7 @@
     const isWithheld = purpose === RetryPurpose.Start && isResumeWaiting(state, now);
     // Loans are spent first, because they expire.
     const isBorrowed = !isWithheld && state.loans.trySpend(now);
-    const isOwn =
-      !isWithheld && !isBorrowed && spent + 1 <= getSpendable(purpose, allowance, state.begun);
+    const isOwn = !isWithheld && !isBorrowed && spent + 1 <= getSpendable(purpose, allowance);
     const isGranted = isBorrowed || isOwn;
     if (isOwn) state.retries.push(now);
     if (!isGranted && purpose === RetryPurpose.Resume) state.resumesDenied.push(now);
@@ -129,7 +114,7 @@
       if (waiting > 0) return [{ service, purpose: RetryPurpose.Resume, retries: waiting }];
       const { spent, allowance } = this.computeUsage(service, entryVms, now);
       const threshold = Math.min(borrowThreshold, allowance * borrowThresholdShare);
-      const remaining = allowance * maximumStartShare - spent + borrowed;
+      const remaining = allowance * beforeAnswerShare - spent + borrowed;
       if (spent === 0 || remaining >= threshold) return [];
       return [{ service, purpose: RetryPurpose.Start, retries: Math.ceil(threshold) }];
     });
@@ -147,7 +132,7 @@
     const state = this.getState(service, now);
     if (isResumeWaiting(state, now)) return 0;
     const { spent, allowance } = this.computeUsage(service, entryVms, now);
-    const remaining = Math.floor(getSpendable(purpose, allowance, state.begun) - spent);
+    const remaining = Math.floor(getSpendable(purpose, allowance) - spent);
     const retries = Math.min(wanted, roundLoan(purpose, remaining * lendableShare));
     if (retries <= 0) return 0;
     state.loans.lend(retries, now);
@@ -174,7 +159,7 @@
   }
 
   // The state of `service`, without what lies before the window.
-  private getState(service: string, now: Milliseconds = -Infinity): ServiceState {
+  private getState(service: string, now: Milliseconds): ServiceState {
     const existing = this.services.get(service);
     if (existing !== undefined) {
       removeBefore(existing.requests, now - this.options.window);
@@ -186,7 +171,6 @@
       requests: [],
       retries: [],
       loans: new LoanBook(this.options.window),
-      begun: 0,
       resumesDenied: [],
       askedAt: -Infinity,
     };
@@ -209,16 +193,13 @@
   }
 }
 
-// The part of `allowance` that may be spent on `purpose` with `begun` open answers that have begun.
-function getSpendable(purpose: RetryPurpose, allowance: number, begun: number): number {
+// The part of `allowance` that may be spent on `purpose`.
+function getSpendable(purpose: RetryPurpose, allowance: number): number {
   switch (purpose) {
     case RetryPurpose.Resume:
       return allowance;
     case RetryPurpose.Start:
-      return Math.min(
-        allowance * maximumStartShare,
-        Math.max(allowance * minimumStartShare, allowance - begun),
-      );
+      return allowance * beforeAnswerShare;
   }
 }
 
