--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -44,17 +44,10 @@
   answer: CallerAnswer,
   services: AttemptServices,
 ): Promise<void> {
-  const stream = new StreamAnswer(request, answer, services);
-  try {
-    await stream.run();
-  } finally {
-    stream.releaseClaim();
-  }
+  await new StreamAnswer(request, answer, services).run();
 }
 
 class StreamAnswer implements StreamReceiver {
-  /// Ends the claim of this answer to the retry budget, once it has begun.
-  releaseClaim: () => void = () => undefined;
   private lastEventId: string | undefined;
   private lastEventAt: Milliseconds = -Infinity;
   private readonly excludedTargets: string[] = [];
@@ -441,7 +434,6 @@
 
   private beginAnswer({ message, isDelimited }: TargetResponse): void {
     if (this.answer.hasBegun) return;
-    this.releaseClaim = this.services.budget.recordBegun(this.request.service.name);
     const framing = isDelimited ? "chunked" : "untilClose";
     this.answer.begin(200, responseHeaders(message.rawHeaders), { kind: framing });
   }
