--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -1,6 +1,6 @@
 //! One dispatch of a stream to the first engine of a path: the request, the engine's reply, and the
 //! events until the stream ends. What becomes of the events is up to the receiver.
-import type { Milliseconds } from "@lovagebend/common";
+import { runDetached, type Milliseconds } from "@lovagebend/common";
 import {
   EventSplitter,
   readBody,
@@ -11,6 +11,7 @@
   type TargetResponse,
 } from "@lovagebend/forwarding";
 import type { PathPart } from "@lovagebend/routing";
+import type { Result } from "true-myth";
 import type { AnswerStart } from "./answer-start.js";
 import type { Target } from "./observed-target.js";
 import type { AttemptServices, RoutedRequest } from "./routed-request.js";
@@ -202,11 +203,10 @@
       this.response = response;
       return this.forwardEvents(response);
     }
-    const body = await readBody(response, services.answerMemory);
-    if (!isNotRun) {
-      if (body.isErr) return this.createBroken(body.error, true);
-      return { kind: "failed", status, rawHeaders: message.rawHeaders, body: body.value };
-    }
+    const reading = readBody(response, services.answerMemory);
+    if (!isNotRun) return this.handleFailure(status, message.rawHeaders, await reading);
+    // Its connection can be kept once the rest has arrived, which nobody waits for.
+    runDetached(services.logger, "rest of a refusal", reading);
     const refusingTarget =
       faultyTarget === undefined
         ? target.name
@@ -217,6 +217,15 @@
     return { kind: "notRun", reason, refusedBy: refusingTarget };
   }
 
+  private handleFailure(
+    status: number,
+    rawHeaders: readonly string[],
+    body: Result<Buffer, string>,
+  ): StreamOutcome {
+    if (body.isErr) return this.createBroken(body.error, true);
+    return { kind: "failed", status, rawHeaders, body: body.value };
+  }
+
   private forwardEvents(response: TargetResponse): Promise<StreamOutcome> {
     const { message, getConnectionError, isDelimited } = response;
     const { clock } = this.services;
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -30,8 +30,6 @@
 // Before the answer has begun, an early refusal lets the caller retry instead of waiting for
 // many refusals by engines. After that, the caller can only continue with this answer.
 const maximumDispatchesBeforeBegin = 3;
-// Callers abandon a stream after two seconds without an event.
-const resumeTimeout: Milliseconds = 1_500;
 const resumeInterval: Milliseconds = 100;
 const maximumRefusalPause: Milliseconds = 800;
 const noPathRetryAfterSeconds = 0.5;
@@ -227,26 +225,16 @@
   private async waitForPath(): Promise<readonly PathPart[] | undefined> {
     const { clock } = this.services;
     const { signal, deadline } = this.request;
-    let hasTriedRefusing = false;
     for (;;) {
       if (signal.aborted || clock.monotonicTime() >= deadline) return undefined;
       const excluded = this.paths.hasPathWithoutRefusing(this.excludedTargets)
         ? this.excludedTargets
         : [];
-      // The caller is about to leave, so that engines that refused are tried once more.
-      const mayRefuse: boolean =
-        !hasTriedRefusing && clock.monotonicTime() >= this.lastEventAt + resumeTimeout;
-      const hasPath = mayRefuse
-        ? this.paths.hasPath(excluded)
-        : this.paths.hasPathWithoutRefusing(excluded);
-      if (hasPath && this.payRetry()) {
-        hasTriedRefusing ||= mayRefuse;
-        const path = mayRefuse
-          ? await this.paths.chooseWithinLimits(excluded)
-          : await this.paths.chooseWithoutRefusing(excluded);
+      if (this.paths.hasPathWithoutRefusing(excluded) && this.payRetry()) {
+        const path = await this.paths.chooseWithoutRefusing(excluded);
         if (path !== undefined) return path;
       }
-      await clock.sleep(resumeInterval, signal);
+      await clock.sleep(chooseResumeInterval(), signal);
     }
   }
 
@@ -531,6 +519,11 @@
   }
 }
 
+// Streams that are lost together don't wait in step.
+function chooseResumeInterval(): Milliseconds {
+  return resumeInterval * (0.75 + Math.random() / 2);
+}
+
 function formatParts(path: readonly PathPart[]): string {
   return path.map(({ target, first, end }) => `${target}:${first}-${end}`).join(" ");
 }
