--- a/packages/common/src/read-body.ts
+++ b/packages/common/src/read-body.ts
@@ -3,12 +3,14 @@
 import type http from "node:http";
 import { Result } from "true-myth";
 import { ErrorKind, RouterError, RunState } from "./error-kind.js";
+import { ReceivedBody } from "./received-body.js";
 
 /// Reads the whole body. The error is `RequestTooLarge` above `maximumBytes`, and
-/// `CallerGone` when the caller closes the connection first.
+/// `CallerGone` when the caller closes the connection first. `onChunk` is called with each chunk.
 export async function readBody(
   request: http.IncomingMessage,
   maximumBytes: number,
+  onChunk: (chunk: Buffer) => void = () => undefined,
 ): Promise<Result<Buffer, RouterError>> {
   const isEmpty =
     request.headers["content-length"] === undefined &&
@@ -16,18 +18,16 @@
   if (isEmpty) return Result.ok(Buffer.alloc(0));
   const declaredBytes = Number(request.headers["content-length"] ?? 0);
   if (declaredBytes > maximumBytes) return Result.err(createTooLargeError(maximumBytes));
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const body = new ReceivedBody(request.socket, maximumBytes);
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
-      receivedBytes += chunk.length;
-      if (receivedBytes > maximumBytes) return Result.err(createTooLargeError(maximumBytes));
-      chunks.push(chunk);
+      if (!body.add(chunk)) return Result.err(createTooLargeError(maximumBytes));
+      onChunk(chunk);
     }
   } catch {
     return Result.err(new RouterError(ErrorKind.CallerGone, RunState.NotRun));
   }
-  return Result.ok(Buffer.concat(chunks));
+  return Result.ok(body.bytes);
 }
 
 function createTooLargeError(maximumBytes: number): RouterError {
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -1,25 +1,19 @@
 //! Assembles the parts of an entry VM, starts its servers and background tasks, and shuts
 //! them down gracefully.
 import { CrashReporter, StreamWatch, TargetRegistry } from "@lovagebend/attempts";
-import {
-  getErrorResponse,
-  LifecycleManager,
-  readBody,
-  runDetached,
-  writeJsonText,
-  type Logger,
-  type Milliseconds,
-} from "@lovagebend/common";
+import { LifecycleManager, runDetached, type Logger, type Milliseconds } from "@lovagebend/common";
 import { AnswerMemory, TargetConnections } from "@lovagebend/forwarding";
 import { FairAdmissions, SharedRetryBudget } from "@lovagebend/limits";
 import { EngineFailureDetector, PlacementController } from "@lovagebend/placement";
 import { PromptQuarantine } from "@lovagebend/quarantine";
-import http from "node:http";
+import type http from "node:http";
+import { createBoundedServer } from "./bounded-server.js";
 import { CallerServer, type CallerServerServices } from "./caller-server.js";
 import { ReplicatedState } from "./replicated-state.js";
 import { DelayMonitor } from "./delay-monitor.js";
 import { EntryMetrics } from "./metrics.js";
 import { refuseOwnAddresses } from "./own-addresses.js";
+import { createPeerServer } from "./peer-server.js";
 import { Peers } from "./peers.js";
 import { placeLayers } from "./place-layers.js";
 import { reviewQuarantine, storeVerdicts } from "./review-quarantine.js";
@@ -34,8 +28,6 @@
   stop(): Promise<void>;
 }
 
-// Several times the size of the operator's document and all target entries together.
-const maximumPeerMessageBytes = 8 * 1024 * 1024;
 // A tenth of the memory of the smallest VM.
 const maximumAnswerMemoryBytes = 24 * 1024 * 1024;
 const maintenanceInterval: Milliseconds = 250;
@@ -104,20 +96,14 @@
     gracefulStop,
   };
   const callerServer = new CallerServer(services);
-  const readinessServer = http.createServer((request, response) => {
+  const readinessServer = createBoundedServer((request, response) => {
     const isReady =
       request.url === identity.readinessPath &&
       replicatedState.isComplete &&
       !gracefulStop.isStopping;
     response.writeHead(isReady ? 200 : 503, { "content-length": 0 }).end();
   });
-  const peerServer = http.createServer((request, response) => {
-    const handling = handlePeerRequest(peers, request, response).catch((error: unknown) => {
-      response.destroy();
-      throw error;
-    });
-    runDetached(logger, "peer request", handling);
-  });
+  const peerServer = createPeerServer(peers, logger);
   metrics.addGauge("requests_in_progress", "Requests in progress", () => callerServer.inProgress);
   metrics.addGauge(
     "settings_version",
@@ -232,24 +218,8 @@
   return { stop: () => (stopped ??= stop()) };
 }
 
-async function handlePeerRequest(
-  peers: Peers,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): Promise<void> {
-  const body = await readBody(request, maximumPeerMessageBytes);
-  if (body.isErr) {
-    response.writeHead(getErrorResponse(body.error.kind).status, { connection: "close" }).end();
-    return;
-  }
-  const reply = await peers.receive(body.value.toString("utf8"));
-  const text = writeJsonText(reply);
-  if (text.isErr) throw new Error(`the reply has no JSON form: ${text.error}`);
-  response.writeHead(200, { "content-type": "application/json" }).end(text.value);
-}
-
 function createMetricsServer(metrics: EntryMetrics, path: string, logger: Logger): http.Server {
-  return http.createServer((request, response) => {
+  return createBoundedServer((request, response) => {
     if (request.url !== path) {
       response.writeHead(404).end();
       return;
--- /dev/null
+++ b/packages/entry/src/peer-server.ts
@@ -0,0 +1,53 @@
+//! The HTTP server for messages of peers. It bounds the memory and the time that they take together.
+import {
+  getErrorResponse,
+  readBody,
+  runDetached,
+  writeJsonText,
+  type Logger,
+} from "@lovagebend/common";
+import { AnswerMemory } from "@lovagebend/forwarding";
+import type http from "node:http";
+import { createBoundedServer } from "./bounded-server.js";
+import { maximumPeerMessageBytes, type Peers } from "./peers.js";
+
+// Of the messages that are being received from all peers.
+const maximumMemoryBytes = 24 * 1024 * 1024;
+
+export function createPeerServer(peers: Peers, logger: Logger): http.Server {
+  const memory = new AnswerMemory(maximumMemoryBytes);
+  return createBoundedServer((request, response) => {
+    const handling = handleRequest(peers, memory, logger, request, response).catch(
+      (error: unknown) => {
+        response.destroy();
+        throw error;
+      },
+    );
+    runDetached(logger, "peer request", handling);
+  });
+}
+
+async function handleRequest(
+  peers: Peers,
+  memory: AnswerMemory,
+  logger: Logger,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const share = memory.open(() => {
+    logger.warn("message of a peer given up", { reason: "those being received exceed the memory" });
+    request.destroy();
+  });
+  const body = await readBody(request, maximumPeerMessageBytes, (chunk) => {
+    share.add(chunk);
+  });
+  share.release();
+  if (body.isErr) {
+    response.writeHead(getErrorResponse(body.error.kind).status, { connection: "close" }).end();
+    return;
+  }
+  const reply = await peers.receive(body.value.toString("utf8"));
+  const text = writeJsonText(reply);
+  if (text.isErr) throw new Error(`the reply has no JSON form: ${text.error}`);
+  response.writeHead(200, { "content-type": "application/json" }).end(text.value);
+}
