entry: bound the requests at work on one connection

Node's server hands out each request that it has read, some hundred at once, while the first of the connection has no answer.

--- a/packages/entry/src/bounded-server.ts
+++ b/packages/entry/src/bounded-server.ts
@@ -1,7 +1,8 @@
 //! The servers that callers do not use: for peers, readiness checks and metrics. What a client may send
-//! is bounded in time.
-import type { Milliseconds } from "@lovagebend/common";
+//! is bounded in time and in requests at work.
+import type { Logger, Milliseconds } from "@lovagebend/common";
 import http from "node:http";
+import { limitPipelining } from "./pipelining.js";
 
 // The time for a whole request to arrive. Longer than peers wait for the reply to their largest
 // messages.
@@ -9,6 +10,7 @@
 const checkInterval: Milliseconds = 500;
 
 export function createBoundedServer(
+  logger: Logger,
   handle: (request: http.IncomingMessage, response: http.ServerResponse) => void,
 ): http.Server {
   const options = {
@@ -16,5 +18,9 @@
     headersTimeout: requestTimeout,
     connectionsCheckingInterval: checkInterval,
   };
-  return http.createServer(options, handle);
+  const server = http.createServer(options, (request, response) => {
+    if (!request.socket.destroyed) handle(request, response);
+  });
+  limitPipelining(server, logger);
+  return server;
 }
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -28,6 +28,7 @@
 import { KeptConnections } from "./kept-connections.js";
 import type { EntryMetrics } from "./metrics.js";
 import { OpenRequest, OpenRequests, type ConnectionEnd } from "./open-requests.js";
+import { limitPipelining } from "./pipelining.js";
 import type { ReplicatedState } from "./replicated-state.js";
 
 export interface CallerServerServices extends AttemptServices {
@@ -62,9 +63,10 @@
     this.server = http.createServer(
       { maxHeaderSize: maximumHeaderBytes, noDelay: true, requestTimeout: requestReadTimeout },
       (request, response) => {
-        void this.handleRequest(request, response);
+        if (!request.socket.destroyed) void this.handleRequest(request, response);
       },
     );
+    limitPipelining(this.server, services.logger);
     this.server.on("connection", (socket) => {
       this.keptConnections.add(socket);
     });
--- a/packages/entry/src/entry-vm.ts
+++ b/packages/entry/src/entry-vm.ts
@@ -96,7 +96,7 @@
     gracefulStop,
   };
   const callerServer = new CallerServer(services);
-  const readinessServer = createBoundedServer((request, response) => {
+  const readinessServer = createBoundedServer(logger, (request, response) => {
     const isReady =
       request.url === identity.readinessPath &&
       replicatedState.isComplete &&
@@ -219,7 +219,7 @@
 }
 
 function createMetricsServer(metrics: EntryMetrics, path: string, logger: Logger): http.Server {
-  return createBoundedServer((request, response) => {
+  return createBoundedServer(logger, (request, response) => {
     if (request.url !== path) {
       response.writeHead(404).end();
       return;
--- a/packages/entry/src/peer-server.ts
+++ b/packages/entry/src/peer-server.ts
@@ -16,7 +16,7 @@
 
 export function createPeerServer(peers: Peers, logger: Logger): http.Server {
   const memory = new AnswerMemory(maximumMemoryBytes);
-  return createBoundedServer((request, response) => {
+  return createBoundedServer(logger, (request, response) => {
     const handling = handleRequest(peers, memory, logger, request, response).catch(
       (error: unknown) => {
         response.destroy();
