--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -27,6 +27,7 @@
 import { KeptConnections } from "./kept-connections.js";
 import type { EntryMetrics } from "./metrics.js";
 import { OpenRequest, OpenRequests, type ConnectionEnd } from "./open-requests.js";
+import { limitPipelining } from "./pipelining.js";
 import type { ReplicatedState } from "./replicated-state.js";
 import { routeRequest } from "./route-request.js";
 import { endAfterBody } from "./unread-body.js";
@@ -61,10 +62,11 @@
     this.server = http.createServer(
       { maxHeaderSize: maximumHeaderBytes, noDelay: true, requestTimeout: requestReadTimeout },
       (request, response) => {
-        void this.handleRequest(request, response);
+        if (!request.socket.destroyed) void this.handleRequest(request, response);
       },
     );
     refuseUnreadable(this.server, this.openRequests, services.logger);
+    limitPipelining(this.server, services.logger);
     this.server.on("connection", (socket) => {
       this.keptConnections.add(socket);
     });
