Drop the trials of engines that have refused

An engine that had refused got one offer at a time, and one that had not three. In a trial of a review, begun streams then saw no path to such an engine in 30 of 30 looks, while requests that began had one in 60 of 60: each of those took the trial.

--- a/packages/attempts/src/observed-target.ts
+++ b/packages/attempts/src/observed-target.ts
@@ -15,8 +15,6 @@
   readonly prefillTokensPerMillisecond: number;
   readonly suspectedUntil: Milliseconds;
   readonly refusingUntil: Milliseconds;
-  /// Until when offers of this entry VM are on trial, and others wait for the answer.
-  readonly trialUntil: Milliseconds;
   /// Until when suspicions of other entry VMs are taken into account.
   readonly peerSuspectedUntil: Milliseconds;
   readonly load: number;
@@ -25,14 +23,6 @@
 // One entry VM of many receives only a few streams per second. The window is long enough to
 // contain some of them and shorter than an answer.
 const prefillRateWindow: Milliseconds = 2_000;
-// About the age of an engine's load report.
-const initialRefusalDuration: Milliseconds = 300;
-const maximumRefusalDuration: Milliseconds = 2_400;
-// A full engine refuses within this time, mostly within the shorter one.
-const trialDuration: Milliseconds = 100;
-const shortTrialDuration: Milliseconds = 30;
-// Streams that were lost together are offered to an engine that has not refused this many at a time.
-const retriesAtOnce = 3;
 
 /// What this entry VM has observed of the process of one target.
 export class TargetObservations {
@@ -41,39 +31,10 @@
   readonly prefillRate = new DecayingRate(prefillRateWindow);
   suspectedUntil: Milliseconds = -Infinity;
   refusingUntil: Milliseconds = -Infinity;
-  trialUntil: Milliseconds = -Infinity;
   peerSuspectedUntil: Milliseconds = -Infinity;
   consecutiveRefusals = 0;
   consecutiveFailures = 0;
   load = 0;
-  /// The times of the latest repeated offers that no answer has followed yet.
-  private retryTimes: Milliseconds[] = [];
-
-  /// Records that a request is offered, a repeated one if `isRetry`. Offers to a target whose last
-  /// answer was a refusal are on trial, and so are several repeated ones at a time.
-  recordOffer(now: Milliseconds, isRetry: boolean): void {
-    if (this.consecutiveRefusals > 0) this.trialUntil = now + trialDuration;
-    if (!isRetry) return;
-    this.retryTimes = this.retryTimes.filter((time) => now - time < shortTrialDuration);
-    this.retryTimes.push(now);
-    if (this.retryTimes.length >= retriesAtOnce)
-      this.trialUntil = Math.max(this.trialUntil, now + shortTrialDuration);
-  }
-
-  /// Records that the target accepted an offer, which ends the trial.
-  recordAcceptance(): void {
-    this.trialUntil = -Infinity;
-    this.retryTimes = [];
-  }
-
-  /// Records that the target refused an offer. The time for which others are preferred doubles with
-  /// each refusal until a success.
-  recordRefusal(now: Milliseconds): void {
-    if (this.refusingUntil > now) return;
-    const duration = initialRefusalDuration * 2 ** this.consecutiveRefusals;
-    this.refusingUntil = now + Math.min(maximumRefusalDuration, duration);
-    this.consecutiveRefusals += 1;
-  }
 }
 
 /// A view that costs nothing to hand out: each request looks at every target of its service
@@ -127,10 +88,6 @@
     return this.observations.refusingUntil;
   }
 
-  get trialUntil(): Milliseconds {
-    return this.observations.trialUntil;
-  }
-
   get peerSuspectedUntil(): Milliseconds {
     return this.observations.peerSuspectedUntil;
   }
--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -199,7 +199,6 @@
     if (status === 200 || !isNotRun) this.mayHaveRun = true;
     if (status === 200) {
       admission.recordAccepted(clock.monotonicTime());
-      for (const part of this.path) targetRegistry.recordAcceptance(part.target);
       this.response = response;
       return this.forwardEvents(response);
     }
--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -18,13 +18,10 @@
 // memory there that local callers could use.
 const entryCrossingTime: Milliseconds = 15;
 
-/// The paths of one stream.
 export class StreamPaths {
   /// The time until a target that the last search within limits left out may take a request;
   /// `undefined` if it left none out.
   limitRetryAfter: Milliseconds | undefined;
-  /// Whether the stream has been offered before.
-  private hasOffered = false;
 
   constructor(
     private readonly service: ServiceProfile,
@@ -82,21 +79,14 @@
     for (;;) {
       const path = this.choose(undefined, excluded, notFirst);
       const first = path?.[0] === undefined ? undefined : targetRegistry.get(path[0].target);
-      if (path === undefined || first === undefined) return path;
-      // Before anything is awaited, so that streams that were lost together see each other's choice.
-      for (const { target } of path) targetRegistry.recordOffer(target, this.hasOffered);
+      if (first === undefined) return path;
       const outcome = await requestLimiter.acquire(first);
-      if (outcome.kind === "allowed") {
-        this.hasOffered = true;
-        return path;
-      }
+      if (outcome.kind === "allowed") return path;
       leaveOut(first.name, outcome.retryAfter);
     }
   }
 
-  /// Like `chooseWithinLimits`, without targets that recently refused requests. Those that are to
-  /// show whether they have room again are offered one request at a time, and the others a few
-  /// repeated ones.
+  /// Like `chooseWithinLimits`, without targets that recently refused requests.
   chooseWithoutRefusing(excluded: readonly string[]): Promise<readonly PathPart[] | undefined> {
     return this.chooseWithinLimits([...excluded, ...this.findRefusing()]);
   }
@@ -121,7 +111,7 @@
     const now = clock.monotonicTime();
     return targetRegistry
       .getServingTargets(this.service.name)
-      .filter(({ refusingUntil, trialUntil }) => refusingUntil > now || trialUntil > now)
+      .filter(({ refusingUntil }) => refusingUntil > now)
       .map(({ name }) => name);
   }
 
--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -23,6 +23,9 @@
 // A failed target is tried again after an exponential backoff.
 const initialSuspicionDuration: Milliseconds = 400;
 const maximumSuspicionDuration = maximumEntryLifetime;
+// About the age of an engine's load report.
+const initialRefusalDuration: Milliseconds = 300;
+const maximumRefusalDuration: Milliseconds = 2_400;
 // Equal to the time for which peers treat a suspicion as new.
 const peerSuspicionDuration: Milliseconds = 1_500;
 // Entries that expired during a store outage are listed again within two seconds of its end.
@@ -266,17 +269,16 @@
   /// Records that a target refused a request without running it, as a full target does.
   /// Others are then preferred for a time that doubles with each refusal until a success.
   recordRefusal(name: string): void {
-    this.getObservations(name).recordRefusal(this.clock.monotonicTime());
-  }
-
-  /// Records that a request is about to be offered to a target, a repeated one if `isRetry`.
-  recordOffer(name: string, isRetry: boolean): void {
-    this.getObservations(name).recordOffer(this.clock.monotonicTime(), isRetry);
-  }
-
-  /// Records that a target accepted an offer.
-  recordAcceptance(name: string): void {
-    this.getObservations(name).recordAcceptance();
+    const observations = this.getObservations(name);
+    const now = this.clock.monotonicTime();
+    if (observations.refusingUntil > now) return;
+    observations.refusingUntil =
+      now +
+      Math.min(
+        maximumRefusalDuration,
+        initialRefusalDuration * 2 ** observations.consecutiveRefusals,
+      );
+    observations.consecutiveRefusals += 1;
   }
 
   /// Records a success, which resets the backoffs of failures and refusals.
