Streams: the word on the end of a target is awaited until the deadline at most

A stream without a length whose engine is silent at its end waited up to 1.5 s for the engine's report, past its deadline and past the end of a planned stop, whose plain close then marked it as complete. The wait ends at the deadline, and when the dispatch is dropped; a request that has ended is not sent any more.

--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -129,6 +129,7 @@
       this.drop(DispatchEnd.RequestEnded);
     };
     request.signal.addEventListener("abort", endWithRequest);
+    if (request.signal.aborted) endWithRequest();
     const releases = path.map(({ target }) =>
       services.targetRegistry.begin(target, request.tokens, request.promptTokens),
     );
@@ -252,6 +253,10 @@
       message.on("error", (error) => {
         resolveBroken(error.message);
       });
+      // A stream that has ended may still wait for the word of its target.
+      this.abort.signal.addEventListener("abort", () => {
+        resolveBroken("dropped");
+      });
       let hasEnd = false;
       message.on("close", () => {
         if (!hasEnd) resolveBroken("the connection closed before the end of the stream");
@@ -277,7 +282,9 @@
   // stream or has ended itself.
   private async isEndOfTarget(isDelimited: boolean): Promise<boolean> {
     if (isDelimited) return false;
-    return this.services.crashReporter.hasEnded(this.target, silenceTimeout);
+    const { clock, crashReporter } = this.services;
+    const timeLeft = this.request.deadline - clock.monotonicTime();
+    return crashReporter.hasEnded(this.target, Math.max(0, Math.min(silenceTimeout, timeLeft)));
   }
 
   private createBroken(reason: string, hasRun: boolean): StreamOutcome {
