--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -13,6 +13,7 @@
 } from "@lovagebend/common";
 import { responseHeaders, type CompleteEvents, type TargetResponse } from "@lovagebend/forwarding";
 import { RetryPurpose, type FairAdmission } from "@lovagebend/limits";
+import type { Admission } from "@lovagebend/quarantine";
 import type { PathPart } from "@lovagebend/routing";
 import { AnswerStart } from "./answer-start.js";
 import { createEndError, isEndedByStop } from "./request-end.js";
@@ -54,8 +55,8 @@
   private current: StreamDispatch | undefined;
   /// A dispatch that may continue the answer of a silent engine.
   private successor: StreamDispatch | undefined;
-  /// The number of dispatches on which an engine began to answer.
-  private executions = 0;
+  /// The dispatches on which an engine may have run the request.
+  private readonly runs = new Set<StreamDispatch>();
   /// Whether an engine may have run the request, even if no answer arrived.
   private mayHaveRun = false;
   private dispatches = 0;
@@ -82,7 +83,7 @@
     this.assertAdmitted();
     for (;;) {
       if (this.isEnded()) return;
-      if (this.isQuarantined()) return;
+      if (!this.answer.hasBegun && (await this.isQuarantined())) return;
       request.progress.recordWait();
       const path = this.answer.hasBegun ? await this.waitForPath() : await this.findFirstPath();
       // The signal may have aborted while the path was being found.
@@ -91,6 +92,8 @@
         this.breakOff(AnswerEnd.DeadlinePassed);
         return;
       }
+      // The evidence may have come during the wait.
+      if (this.answer.hasBegun && (await this.isQuarantined())) return;
       this.current = this.createDispatch(path);
       if (this.current === undefined) continue;
       request.progress.recordOffer(this.current.target.name);
@@ -277,7 +280,7 @@
       await this.recordOutcome(dispatch, outcome);
       if (dispatch === this.current) {
         if (outcome.kind === "ended") this.successor?.drop(DispatchEnd.Superfluous);
-        if (outcome.kind === "ended" || this.successor === undefined) return outcome;
+        if (this.successor === undefined || this.successor.isDropped) return outcome;
         this.promoteSuccessor();
       }
       dispatch = this.current ?? dispatch;
@@ -293,7 +296,7 @@
     const { route } = this.request;
     if (this.successor !== undefined || current.isDropped) return;
     // The current dispatch counts as an execution.
-    if (!isRetryable(route) || this.executions + 1 >= route.maximumAttempts) return;
+    if (!isRetryable(route) || this.runs.size + 1 >= route.maximumAttempts) return;
     if (!this.answer.hasBegun && this.dispatches >= maximumDispatchesBeforeBegin) return;
     const avoided = [...this.excludedTargets, ...excluded, current.target.name];
     switch (urgency) {
@@ -318,6 +321,7 @@
     if (!this.paths.hasPathWithoutRefusing(avoided) || !this.payRetry()) return;
     const path = await this.paths.chooseWithoutRefusing(avoided);
     if (path === undefined || current !== this.current || current.isOver) return;
+    if (current.isDropped || this.findPromptRefusal() !== undefined) return;
     const successor = this.createDispatch(path);
     if (successor === undefined) return;
     this.successor = successor;
@@ -327,8 +331,10 @@
   private async observeSuccessor(successor: StreamDispatch): Promise<void> {
     const outcome = await successor.outcome;
     if (successor !== this.successor) return;
-    // The engine that continues the answer had nothing to add to it.
-    if (outcome.kind === "ended" && !successor.isDropped) {
+    // The engine that continues the answer had nothing to add to it. Without a length, it may have
+    // lost the rest.
+    const isRest = successor.response?.isDelimited === true && !successor.isDropped;
+    if (outcome.kind === "ended" && isRest) {
       this.promoteSuccessor();
       return;
     }
@@ -339,6 +345,7 @@
   private promoteSuccessor(): void {
     const { current, successor } = this;
     if (successor === undefined) return;
+    if (current !== undefined) this.runs.add(current);
     this.current = successor;
     this.successor = undefined;
     this.request.progress.recordOffer(successor.target.name);
@@ -355,16 +362,16 @@
       this.request.progress.recordFailure(outcome.reason);
     switch (outcome.kind) {
       case "ended":
-        if (dispatch !== this.current) this.executions += 1;
+        if (dispatch !== this.current) this.runs.add(dispatch);
         return;
       case "notRun":
         if (outcome.refusedBy !== undefined) this.excludedTargets.push(outcome.refusedBy);
         return;
       case "failed":
-        this.executions += 1;
+        this.runs.add(dispatch);
         return;
       case "broken":
-        if (outcome.hasRun) this.executions += 1;
+        if (outcome.hasRun) this.runs.add(dispatch);
         if (outcome.isOwnEnd) return;
         this.excludedTargets.push(dispatch.target.name);
         this.services.targetRegistry.suspect(dispatch.target.name, outcome.reason);
@@ -396,7 +403,7 @@
 
   // Ends the request after `outcome`, unless it can go on. Returns whether it has ended.
   private finish(outcome: StreamOutcome): boolean {
-    const { request, services, executions } = this;
+    const { request, services } = this;
     if (outcome.kind === "ended") {
       this.endAnswer();
       return true;
@@ -406,7 +413,7 @@
     const end = findAnswerEnd(
       {
         isResumable: isRetryable(route),
-        executions,
+        executions: this.runs.size,
         maximumAttempts: route.maximumAttempts,
         deadline,
       },
@@ -454,21 +461,36 @@
     return true;
   }
 
-  // Gives the request up if a part of its prompt is not admitted. An answer that has lived shows
-  // that its prompt is sound.
-  private isQuarantined(): boolean {
-    if (this.hasLived) return false;
-    const { quarantine, clock, logger, holdsTrial } = this.services;
-    const { id, sharedPromptParts } = this.request;
+  // An answer that has lived shows that its prompt is sound.
+  private findPromptRefusal(): Exclude<Admission, { kind: "admitted" }> | undefined {
+    if (this.hasLived) return undefined;
+    const { quarantine, clock, holdsTrial } = this.services;
+    const { sharedPromptParts } = this.request;
     const admission = quarantine.admit(sharedPromptParts, clock.monotonicTime(), holdsTrial);
-    if (admission.kind === "admitted") return false;
-    const { kind, part, retryAfter } = admission;
-    logger.warn("prompt not admitted", { request: id, reason: kind, part });
-    this.reason = `Part ${part} is ${kind}.`;
-    if (!this.answer.hasBegun)
-      throw this.createRefusal(ErrorKind.PromptQuarantined, this.reason, retryAfter / 1_000);
-    this.breakOff(AnswerEnd.PromptQuarantined);
-    return true;
+    return admission.kind === "admitted" ? undefined : admission;
+  }
+
+  // Ends the request if a part of its prompt is not admitted. An answer that has begun waits for the
+  // evidence that a paused part lacks.
+  private async isQuarantined(): Promise<boolean> {
+    for (;;) {
+      const refusal = this.findPromptRefusal();
+      if (refusal === undefined) return false;
+      const { kind, part, retryAfter } = refusal;
+      const { clock, logger } = this.services;
+      const { id, signal, deadline } = this.request;
+      logger.warn("prompt not admitted", { request: id, reason: kind, part });
+      this.reason = `Part ${part} is ${kind}.`;
+      if (!this.answer.hasBegun)
+        throw this.createRefusal(ErrorKind.PromptQuarantined, this.reason, retryAfter / 1_000);
+      const admittedAt = clock.monotonicTime() + retryAfter;
+      if (kind === "quarantined" || admittedAt >= deadline) {
+        this.breakOff(AnswerEnd.PromptQuarantined);
+        return true;
+      }
+      await clock.sleep(retryAfter, signal);
+      if (this.isEnded()) return true;
+    }
   }
 
   // Ends an answer that the caller is reading.
@@ -481,7 +503,7 @@
       kind,
       end,
       reason: this.reason,
-      executions: this.executions,
+      executions: this.runs.size,
       dispatches: this.dispatches,
       silence: roundTime(clock.monotonicTime() - this.lastEventAt),
       timeLeft: roundTime(deadline - clock.monotonicTime()),
