Watch: move stalled streams off leaving targets too

A caller whose stream stalled on an engine that left or was gone waited until its deadline: the stream was never moved, although one that still wrote was.

The query about stalls and the check for leaving targets shared the time of a stream's last action. A stalled stream is queried about as often as the interval between actions allows, always ahead of the check, which then skipped the stream. Each kind of action now has a time of its own.

stream-watch.test.ts has the case. Before, its three assertions for the writing stream passed and the three for the stalled one failed: no rerouting in 2.5 s.

--- a/packages/attempts/src/stream-watch.ts
+++ b/packages/attempts/src/stream-watch.ts
@@ -29,7 +29,8 @@
 // passed; short streams end before.
 const leavingRerouteDelay: Milliseconds = 900;
 const leavingResumeDelay: Milliseconds = 1_500;
-// The minimum time between two actions on the same stream, so that the first can take effect.
+// The minimum time between two actions of the same kind on a stream, so that the first can take
+// effect.
 const actionInterval: Milliseconds = 250;
 const leavingCheckInterval: Milliseconds = 200;
 // On a slow machine a single report may be late, so one failed report is not enough.
@@ -39,7 +40,9 @@
 export class StreamWatch {
   private readonly streams = new Map<string, ReroutableStream>();
   private readonly leavingSince = new Map<string, Milliseconds>();
-  private readonly lastActionAt = new Map<string, Milliseconds>();
+  // Stalls are handled as often as allowed, so leaving targets need a time of their own.
+  private readonly stallHandledAt = new Map<string, Milliseconds>();
+  private readonly leavingHandledAt = new Map<string, Milliseconds>();
   private readonly failedReports = new Map<string, number>();
   private leavingCheckedAt: Milliseconds = -Infinity;
 
@@ -56,7 +59,8 @@
     return () => {
       if (this.streams.get(stream.request) !== stream) return;
       this.streams.delete(stream.request);
-      this.lastActionAt.delete(stream.request);
+      this.stallHandledAt.delete(stream.request);
+      this.leavingHandledAt.delete(stream.request);
     };
   }
 
@@ -79,10 +83,10 @@
       const stream = this.streams.get(request);
       if (
         stream === undefined ||
-        now - (this.lastActionAt.get(request) ?? -Infinity) < actionInterval
+        now - (this.stallHandledAt.get(request) ?? -Infinity) < actionInterval
       )
         continue;
-      this.lastActionAt.set(request, now);
+      this.stallHandledAt.set(request, now);
       runDetached(this.logger, "stall query", this.queryFirstTarget(stream, candidates));
     }
     if (now - this.leavingCheckedAt < leavingCheckInterval) return;
@@ -138,8 +142,8 @@
       }));
       const leaving = leavingTimes.filter(({ time }) => time >= leavingRerouteDelay);
       if (leaving.length === 0) continue;
-      if (now - (this.lastActionAt.get(stream.request) ?? -Infinity) < actionInterval) continue;
-      this.lastActionAt.set(stream.request, now);
+      if (now - (this.leavingHandledAt.get(stream.request) ?? -Infinity) < actionInterval) continue;
+      this.leavingHandledAt.set(stream.request, now);
       const isUrgent = leaving.some(({ time }) => time >= leavingResumeDelay);
       stream.reroute(
         leaving.map(({ name }) => name),
