Watch: move stalled streams off targets that are no longer listed

A caller whose stream stalled because an engine of its path was gone waited until its deadline, or until the checks for leaving targets moved it after 1.5 s and more. If another process had taken over the address, that sound one got no new work for 1.5 s.

If the first engine had no entry, the stall query ended before it asked. If another part was replaced, the first engine's report names an address, which was looked up among the listed targets: the new process was taken for the stalling one, and the stream, whose path has the old name, stayed.

A watched stream now keeps the address that each target had when the path was chosen, and a report is resolved against the stream's own path. Only listed targets are suspected. A stalled stream is moved at once off each target that is no longer listed, the first one included. Streams that write keep the leaving delays, because some targets remove their entry and go on for two seconds.

stream-watch.test.ts has the cases. Before, the tests for a first target that is gone, for a process at the address of one that is gone, and for a report after a change of path failed; those for a listed target and for a writing stream passed, and guard what stays. 170 assertions of the tests of attempts, leaving targets, streams and stalled streams pass.

--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -87,7 +87,14 @@
     private readonly services: AttemptServices,
   ) {
     this.dispatchedAt = services.clock.monotonicTime();
-    this.watched = new WatchedDispatch(receiver, request.id, path, this.dispatchedAt);
+    const { targetRegistry } = services;
+    this.watched = new WatchedDispatch(
+      receiver,
+      request.id,
+      path,
+      this.dispatchedAt,
+      targetRegistry,
+    );
     this.outcome = this.run().finally(() => {
       this.isOver = true;
     });
--- a/packages/attempts/src/stream-watch.ts
+++ b/packages/attempts/src/stream-watch.ts
@@ -1,5 +1,5 @@
 //! Monitors the streams of this entry VM. Requests rerouting of the streams whose path
-//! contains a target that is unresponsive or leaving.
+//! contains a target that is unresponsive, leaving or gone.
 import { runDetached, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
 import type { EngineAddress, EngineCalls } from "./routed-request.js";
 import { findUnresponsiveTargets, type WatchedStream } from "./unresponsive-targets.js";
@@ -12,12 +12,15 @@
   /// The target will stop soon: the stream is resumed on another path that avoids targets with
   /// recent refusals, if there is one.
   Soon = "soon",
-  /// The target stalls the stream.
+  /// The target stalls the stream, or the stream stalls and the target is no longer listed.
   Now = "now",
 }
 
 /// A monitored stream that can be moved to a path without the `excluded` targets.
 export interface ReroutableStream extends WatchedStream {
+  /// Returns the target of the stream's path that had `address` (`host:port`) when the path was
+  /// chosen. Another process may listen there now.
+  findTarget(address: string): string | undefined;
   reroute(excluded: readonly string[], reason: string, urgency: Urgency): void;
 }
 
@@ -87,6 +90,8 @@
       )
         continue;
       this.stallHandledAt.set(request, now);
+      const gone = stream.targets.filter((name) => !this.isListed(name));
+      if (gone.length > 0) stream.reroute(gone, "target is gone", Urgency.Now);
       runDetached(this.logger, "stall query", this.queryFirstTarget(stream, candidates));
     }
     if (now - this.leavingCheckedAt < leavingCheckInterval) return;
@@ -118,13 +123,21 @@
     }
     this.failedReports.delete(first.name);
     const address = stalled.value.get(stream.request);
-    const stallingTarget =
-      address === undefined ? undefined : this.targetRegistry.findByAddress(address)?.name;
-    if (stallingTarget !== undefined)
-      this.handleUnresponsive(stream, stallingTarget, "reported by the first target");
+    if (address === undefined) return;
+    const stallingTarget = stream.findTarget(address);
+    if (stallingTarget === undefined) {
+      this.logger.info("reported target is not on the path of the answer", {
+        request: stream.request,
+        address,
+      });
+      return;
+    }
+    this.handleUnresponsive(stream, stallingTarget, "reported by the first target");
   }
 
   private handleUnresponsive(stream: ReroutableStream, target: string, reason: string): void {
+    // The check of the streams moves them off a target that is gone.
+    if (!this.isListed(target)) return;
     this.targetRegistry.suspect(target, `unresponsive: ${reason}`, unresponsiveSuspicionDuration);
     for (const other of this.streams.values()) {
       const isStalled =
@@ -164,6 +177,10 @@
     return now - since;
   }
 
+  private isListed(name: string): boolean {
+    return this.targetRegistry.get(name) !== undefined;
+  }
+
   private getAddress(name: string | undefined): EngineAddress | undefined {
     return name === undefined ? undefined : this.targetRegistry.get(name);
   }
--- a/packages/attempts/src/watched-dispatch.ts
+++ b/packages/attempts/src/watched-dispatch.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from "@lovagebend/common";
 import type { PathPart } from "@lovagebend/routing";
 import type { ReroutableStream, Urgency } from "./stream-watch.js";
+import type { TargetRegistry } from "./target-registry.js";
 
 // The prefill of a prompt of typical size takes much less than this time.
 const firstEventStallTimeout: Milliseconds = 400;
@@ -22,6 +23,8 @@
 export class WatchedDispatch implements ReroutableStream {
   readonly request: string;
   targets: readonly string[];
+  // The address (`host:port`) of each target when the path was chosen, by name.
+  private addresses: ReadonlyMap<string, string>;
   lastProgressAt: Milliseconds;
   stallTimeout: Milliseconds = firstEventStallTimeout;
   private averageInterval: Milliseconds | undefined;
@@ -32,9 +35,11 @@
     request: string,
     path: readonly PathPart[],
     now: Milliseconds,
+    private readonly targetRegistry: TargetRegistry,
   ) {
     this.request = request;
     this.targets = path.map(({ target }) => target);
+    this.addresses = this.readAddresses(new Map());
     this.lastProgressAt = now;
   }
 
@@ -63,10 +68,15 @@
 
   recordReroute(path: readonly PathPart[], now: Milliseconds): void {
     this.targets = path.map(({ target }) => target);
+    this.addresses = this.readAddresses(this.addresses);
     this.lastProgressAt = now;
     this.stallTimeout = firstEventStallTimeout;
   }
 
+  findTarget(address: string): string | undefined {
+    return this.targets.find((name) => this.addresses.get(name) === address);
+  }
+
   reroute(excluded: readonly string[], reason: string, urgency: Urgency): void {
     if (this.isRerouting) return;
     this.isRerouting = true;
@@ -74,4 +84,15 @@
       this.isRerouting = false;
     });
   }
+
+  // A target that is no longer listed keeps its known address.
+  private readAddresses(known: ReadonlyMap<string, string>): ReadonlyMap<string, string> {
+    const addresses = new Map<string, string>();
+    for (const name of this.targets) {
+      const target = this.targetRegistry.get(name);
+      const address = target === undefined ? known.get(name) : `${target.host}:${target.port}`;
+      if (address !== undefined) addresses.set(name, address);
+    }
+    return addresses;
+  }
 }
--- a/packages/attempts/test/stream-watch.test.ts
+++ b/packages/attempts/test/stream-watch.test.ts
@@ -43,9 +43,13 @@
   readonly reroutes: Reroute[] = [];
   /// The addresses that the first engine reports as stalling, by request.
   readonly reported = new Map<string, string>();
+  queries = 0;
   private readonly engines: EngineCalls = {
     readProcessState: () => Promise.resolve({ kind: "unknown" }),
-    getStalledAnswers: () => Promise.resolve(Result.ok(this.reported)),
+    getStalledAnswers: () => {
+      this.queries += 1;
+      return Promise.resolve(Result.ok(this.reported));
+    },
     changePath: () => Promise.resolve({ kind: "unknown", reason: "not tried" }),
   };
   private readonly watch = new StreamWatch(this.targetRegistry, this.engines, this.clock, logger);
@@ -69,6 +73,7 @@
         { target: "second", first: 1, end: 2 },
       ],
       this.clock.time,
+      this.targetRegistry,
     );
     this.watch.add(stream);
     return stream;
@@ -123,3 +128,76 @@
     t.ok((late?.at ?? Infinity) <= 2_000, `${stage}: resumed while the target still runs`);
   }
 });
+
+// Guards against reports that are ignored as a consequence of the checks for targets that are gone.
+t.test("a listed target that the first one reports is suspected and avoided at once", async (t) => {
+  const scenario = new Scenario();
+  scenario.addStream("r");
+  scenario.reported.set("r", "127.0.0.1:2");
+  await scenario.runUntil(600);
+  t.match(scenario.reroutes[0], { excluded: ["second"], urgency: Urgency.Now });
+  t.same(scenario.targetRegistry.getSuspectedTargets(), ["second"]);
+});
+
+// Guards against a stall query that gives up because the first target has no entry, so that the
+// stream waits until its deadline.
+t.test("a stalled stream is moved off a first target that is gone at once", async (t) => {
+  const scenario = new Scenario();
+  scenario.addStream("r");
+  scenario.targetRegistry.markUnlisted("first");
+  await scenario.runUntil(600);
+  t.match(scenario.reroutes[0], { excluded: ["first"], urgency: Urgency.Now });
+  t.equal(scenario.queries, 0, "a target without an entry is not asked");
+  t.same(scenario.targetRegistry.getSuspectedTargets(), [], "nor is it suspected");
+});
+
+// Guards against a report that is resolved to the process that has taken over the address: that
+// one was paused, and the stream stayed where it was.
+t.test("a process at the address of one that is gone is not suspected in its place", async (t) => {
+  const scenario = new Scenario();
+  scenario.addStream("r");
+  scenario.reported.set("r", "127.0.0.1:2");
+  scenario.targetRegistry.addOrUpdate(target("replacement", 2, { born: 2 }));
+  await scenario.runUntil(600);
+  t.same(scenario.targetRegistry.getSuspectedTargets(), []);
+  t.match(scenario.reroutes[0], { excluded: ["second"], urgency: Urgency.Now });
+});
+
+// Guards against a report that is resolved by the path of the dispatch although it has changed.
+t.test("a report is resolved against the current path of the stream", async (t) => {
+  const scenario = new Scenario();
+  const stream = scenario.addStream("r");
+  scenario.targetRegistry.addOrUpdate(target("third", 3));
+  const path = [
+    { target: "first", first: 0, end: 1 },
+    { target: "third", first: 1, end: 2 },
+  ];
+  stream.recordReroute(path, scenario.clock.time);
+  scenario.reported.set("r", "127.0.0.1:2");
+  await scenario.runUntil(600);
+  t.same(scenario.targetRegistry.getSuspectedTargets(), [], "the stream has left that target");
+  scenario.reported.set("r", "127.0.0.1:3");
+  await scenario.runUntil(1_000);
+  t.match(scenario.reroutes[0], { excluded: ["third"], urgency: Urgency.Now });
+  t.same(scenario.targetRegistry.getSuspectedTargets(), ["third"]);
+});
+
+// Guards against taking a missing entry for the end of the process: some targets remove their
+// entry when they begin to leave, and go on for two seconds.
+t.test("a writing stream keeps the leaving delays on a target without an entry", async (t) => {
+  for (const name of ["first", "second"]) {
+    const scenario = new Scenario();
+    const stream = scenario.addStream("r");
+    scenario.targetRegistry.markUnlisted(name);
+    await scenario.runUntil(1_900, () => {
+      stream.recordProgress(scenario.clock.time);
+    });
+    const [early] = scenario.reroutes;
+    t.match(early, { excluded: [name], urgency: Urgency.WhileItRuns });
+    t.ok((early?.at ?? 0) >= 900, `${name}: not before the first delay`);
+    t.notOk(
+      scenario.reroutes.some(({ urgency }) => urgency === Urgency.Now),
+      `${name}: never as one that stalls`,
+    );
+  }
+});
