--- /dev/null
+++ b/packages/attempts/test/streaming-answer.test.ts
@@ -0,0 +1,150 @@
+//! Tests of streams whose caller, prompt or engines change while another engine is sought.
+import { ErrorKind, systemClock } from "@lovagebend/common";
+import t, { type Test } from "tap";
+import { AnswerEnd, RequestEnd, Urgency } from "../src/index.js";
+import {
+  formatEvent,
+  reset,
+  sendEvents,
+  sendNothingWithoutLength,
+  StreamFixture,
+  until,
+  type FakedEngine,
+} from "./stream-fixture.js";
+
+const settlingTime = 200;
+
+interface BegunStream {
+  readonly fixture: StreamFixture;
+  /// The engine that has sent the first event and is silent.
+  readonly first: FakedEngine;
+  readonly done: Promise<void>;
+}
+
+async function beginStream(t: Test): Promise<BegunStream> {
+  const fixture = new StreamFixture();
+  t.teardown(() => {
+    fixture.close();
+  });
+  const first = await fixture.addEngine("first", (response) => {
+    sendEvents(response, 1);
+  });
+  const done = fixture.run();
+  await until(() => fixture.answer.text === formatEvent(1));
+  return { fixture, first, done };
+}
+
+// Guards against GONE: an engine runs a request that nobody waits for.
+t.test("an engine gets no request if the caller leaves during its grant", async (t) => {
+  const { fixture, first, done } = await beginStream(t);
+  const second = await fixture.addEngine("second", (response) => {
+    sendEvents(response, 2);
+  });
+  fixture.onAcquire = () => {
+    fixture.caller.abort(RequestEnd.CallerGone);
+  };
+  fixture.reroute(first, Urgency.Now);
+  t.match(await done.catch((error: unknown) => error), { kind: ErrorKind.CallerGone });
+  await systemClock.sleep(settlingTime);
+  t.equal(second.responses.length, 0);
+});
+
+// Guards against BUDGET: a deadly prompt reaches a second engine.
+t.test("a prompt that has been convicted is not offered to a second engine", async (t) => {
+  const { fixture, first, done } = await beginStream(t);
+  const second = await fixture.addEngine("second", (response) => {
+    sendEvents(response, 2);
+  });
+  fixture.admission = { kind: "quarantined", part: "part", retryAfter: 9_000 };
+  fixture.reroute(first, Urgency.Now);
+  await systemClock.sleep(settlingTime);
+  t.equal(second.responses.length, 0);
+  fixture.caller.abort(RequestEnd.CallerGone);
+  t.match(await done.catch((error: unknown) => error), { kind: ErrorKind.CallerGone });
+});
+
+// Guards against BUDGET: a deadly prompt reaches another engine once the budget allows it.
+t.test("a prompt that is convicted during the wait for the budget is given up", async (t) => {
+  const { fixture, first, done } = await beginStream(t);
+  const second = await fixture.addEngine("second", (response) => {
+    sendEvents(response, 2);
+    response.end();
+  });
+  fixture.hasBudget = false;
+  first.responses.forEach(reset);
+  await until(() => fixture.refusedSpends > 0);
+  fixture.admission = { kind: "quarantined", part: "part", retryAfter: 9_000 };
+  fixture.hasBudget = true;
+  await done;
+  t.equal(second.responses.length, 0);
+  t.equal(first.responses.length, 1);
+  t.equal(fixture.answer.isComplete, false);
+  t.match(fixture.answer.abortReason, AnswerEnd.PromptQuarantined);
+});
+
+// Guards against ORDER: the end of an engine that was dropped ends the answer before its last event.
+t.test("a second engine that was dropped does not end the answer as complete", async (t) => {
+  const { fixture, first, done } = await beginStream(t);
+  let resolveLives: ((hasEnded: false) => void) | undefined;
+  fixture.hasEnded = () =>
+    new Promise((resolve) => {
+      resolveLives = resolve;
+    });
+  await fixture.addEngine("second", (response, count) => {
+    if (count === 1) {
+      sendNothingWithoutLength(response);
+      return;
+    }
+    sendEvents(response, 3);
+    response.end();
+  });
+  fixture.reroute(first, Urgency.Now);
+  await until(() => resolveLives !== undefined);
+  for (const response of first.responses) sendEvents(response, 2);
+  await until(() => fixture.answer.text.includes(formatEvent(2)));
+  first.responses.forEach(reset);
+  await systemClock.sleep(settlingTime);
+  resolveLives?.(false);
+  await done;
+  t.equal(fixture.answer.text, [1, 2, 3].map(formatEvent).join(""));
+  t.equal(fixture.answer.isComplete, true);
+});
+
+// Guards against ORDER: an engine that lost the rest of an answer ends it as complete.
+t.test("an empty answer without a length does not count as the rest", async (t) => {
+  const { fixture, first, done } = await beginStream(t);
+  const second = await fixture.addEngine("second", sendNothingWithoutLength);
+  fixture.reroute(first, Urgency.Now);
+  await until(() => second.responses.length === 1);
+  await systemClock.sleep(settlingTime);
+  t.equal(fixture.answer.isComplete, false);
+  for (const response of first.responses) {
+    sendEvents(response, 2);
+    response.end();
+  }
+  await done;
+  t.equal(fixture.answer.text, [1, 2].map(formatEvent).join(""));
+  t.equal(fixture.answer.isComplete, true);
+});
+
+// Guards against LOST: a begun answer is broken off although its prompt is only paused.
+t.test("a begun stream waits for the end of a pause of its prompt and goes on", async (t) => {
+  const { fixture, first, done } = await beginStream(t);
+  let askedAt = -Infinity;
+  await fixture.addEngine("second", (response) => {
+    askedAt = performance.now();
+    sendEvents(response, 2);
+    response.end();
+  });
+  const pause = 300;
+  const pauseEnd = performance.now() + pause;
+  fixture.admission = { kind: "paused", part: "part", retryAfter: pause };
+  setTimeout(() => {
+    fixture.admission = { kind: "admitted" };
+  }, pause);
+  first.responses.forEach(reset);
+  await done;
+  t.equal(fixture.answer.text, [1, 2].map(formatEvent).join(""));
+  t.equal(fixture.answer.isComplete, true);
+  t.ok(askedAt >= pauseEnd - 5);
+});
