--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -2,13 +2,14 @@
 // `id`, `service`, `card` (for an engine that holds all layers), `slots`, `workTime` before an answer,
 // `unframedEvery` (each attempt whose number it divides gets an answer without a length, which ends
 // with its connection), `bodyLength`, `halfTime` between the two halves of a body, `events`,
-// `eventPause` of a stream, `drainTime` from SIGTERM to the exit. After SIGTERM all answers say
-// `Server-Leaving: 1`.
+// `eventPause` of a stream, `drainTime` from SIGTERM to the exit, `garbledEvery` (each attempt whose
+// number it divides gets wrong bytes, which name neither the attempt nor the replica). After SIGTERM
+// all answers say `Server-Leaving: 1`.
 import http from "node:http";
 
 const options = JSON.parse(process.argv[2]);
 const { id, unframedEvery = Infinity, workTime = 0, bodyLength = 800, halfTime = 0 } = options;
-const { events = 40, eventPause = 50, drainTime } = options;
+const { events = 40, eventPause = 50, drainTime, garbledEvery = Infinity } = options;
 const born = Date.now();
 const sleep = (time) => new Promise((resolve) => setTimeout(resolve, time));
 const print = (line) => process.stdout.write(`${JSON.stringify(line)}\n`);
@@ -50,7 +51,14 @@
     "instance-id": id,
     ...(isLeaving ? { "server-leaving": "1" } : {}),
   };
-  if (path.startsWith("/advice/")) await sendStream(response, headers, attempt);
+  const number = Number(/\d+$/.exec(attempt)?.[0]);
+  if (number % garbledEvery === 0) {
+    print({ event: "wrong bytes", attempt });
+    const bytes = Buffer.alloc(bodyLength, "\u0007garbage ");
+    response.socket.end(
+      `HTTP/1.1 200 OK\r\nContent-Length: ${bytes.length}\r\n\r\n${bytes.toString()}`,
+    );
+  } else if (path.startsWith("/advice/")) await sendStream(response, headers, attempt);
   else await sendBody(response, headers, attempt);
   running -= 1;
 }
