--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -27,7 +27,7 @@
     slots: 6,
     unframedEvery,
     workTime: 85,
-    halfTime: 100,
+    halfTime: 400,
     bodyLength,
   });
   await replica.list();
