review/lib-2: the engine of the stand-ins goes on after Last-Event-Id

Without it, streams that entry VMs resumed were answered from the first event: the stand-in was at fault.

--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -58,7 +58,7 @@
     response.socket.end(
       `HTTP/1.1 200 OK\r\nContent-Length: ${bytes.length}\r\n\r\n${bytes.toString()}`,
     );
-  } else if (path.startsWith("/advice/")) await sendStream(response, headers, attempt);
+  } else if (path.startsWith("/advice/")) await sendStream(request, response, headers, attempt);
   else await sendBody(response, headers, attempt);
   running -= 1;
 }
@@ -74,9 +74,11 @@
   print({ event: "whole sent", attempt, bytes: bodyLength });
 }
 
-async function sendStream(response, headers, attempt) {
+// A stream that was broken off goes on after the last event that its caller has.
+async function sendStream(request, response, headers, attempt) {
+  const first = 1 + Number(request.headers["last-event-id"] ?? 0);
   begin(response, { ...headers, "content-type": "text/event-stream" }, attempt);
-  for (let number = 1; number <= events && !response.destroyed; number += 1) {
+  for (let number = first; number <= events && !response.destroyed; number += 1) {
     response.write(`id: ${number}\ndata: token-${number}\n\n`);
     if (number < events) await sleep(eventPause);
   }
