--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -10,6 +10,7 @@
 const options = JSON.parse(process.argv[2]);
 const { id, unframedEvery = Infinity, workTime = 0, bodyLength = 800, halfTime = 0 } = options;
 const { events = 40, eventPause = 50, drainTime, garbledEvery = Infinity } = options;
+const memoryTokens = 69_791;
 const born = Date.now();
 const sleep = (time) => new Promise((resolve) => setTimeout(resolve, time));
 const print = (line) => process.stdout.write(`${JSON.stringify(line)}\n`);
@@ -41,6 +42,11 @@
   if (attempt === undefined) return answer(400, { "not-executed": "1" }, "");
   const expected = request.headers["expect-instance"];
   if (expected !== undefined && expected !== id) return answer(421, { "not-executed": "1" }, "");
+  // A request that is larger than the memory is rejected as if the replica were full.
+  const tokens = String(request.headers["token-count"] ?? "0")
+    .split(",")
+    .map(Number);
+  if (tokens[0] + (tokens[1] ?? 0) > memoryTokens) return answer(503, refusal(attempt), "");
   running += 1;
   print({ event: "runs", attempt, path, leaving: isLeaving });
   await sleep(workTime);
@@ -63,6 +69,14 @@
   running -= 1;
 }
 
+function refusal(attempt) {
+  return {
+    "attempt-id": attempt,
+    "not-executed": "1",
+    "at-server": `127.0.0.1:${server.address().port}`,
+  };
+}
+
 async function sendBody(response, headers, attempt) {
   const body = "x".repeat(bodyLength - 1) + "\n";
   const half = Math.floor(bodyLength / 2);
