--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -3,7 +3,8 @@
 // `unframedEvery` (each attempt whose number it divides gets an answer without a length, which ends
 // with its connection), `bodyLength`, `halfTime` between the two halves of a body, `events`,
 // `eventPause` of a stream, `drainTime` from SIGTERM to the exit, `garbledEvery` (each attempt whose
-// number it divides gets wrong bytes, which name neither the attempt nor the replica). After SIGTERM
+// number it divides gets wrong bytes, which name neither the attempt nor the replica). Both end 5 s
+// after the first request. After SIGTERM
 // all answers say `Server-Leaving: 1`.
 import http from "node:http";
 
@@ -11,10 +12,12 @@
 const { id, unframedEvery = Infinity, workTime = 0, bodyLength = 800, halfTime = 0 } = options;
 const { events = 40, eventPause = 50, drainTime, garbledEvery = Infinity } = options;
 const memoryTokens = 69_791;
+const oddTime = 5_000;
 const born = Date.now();
 const sleep = (time) => new Promise((resolve) => setTimeout(resolve, time));
 const print = (line) => process.stdout.write(`${JSON.stringify(line)}\n`);
 let isLeaving = false;
+let firstRequestAt;
 let running = 0;
 
 const server = http.createServer((request, response) => {
@@ -48,6 +51,7 @@
     .map(Number);
   if (tokens[0] + (tokens[1] ?? 0) > memoryTokens) return answer(503, refusal(attempt), "");
   running += 1;
+  firstRequestAt ??= performance.now();
   print({ event: "runs", attempt, path, leaving: isLeaving });
   await sleep(workTime);
   const headers = {
@@ -58,7 +62,7 @@
     ...(isLeaving ? { "server-leaving": "1" } : {}),
   };
   const number = Number(/\d+$/.exec(attempt)?.[0]);
-  if (number % garbledEvery === 0) {
+  if (isOddTime() && number % garbledEvery === 0) {
     print({ event: "wrong bytes", attempt });
     const bytes = Buffer.alloc(bodyLength, "\u0007garbage ");
     response.socket.end(
@@ -69,6 +73,10 @@
   running -= 1;
 }
 
+function isOddTime() {
+  return performance.now() - firstRequestAt < oddTime;
+}
+
 function refusal(attempt) {
   return {
     "attempt-id": attempt,
@@ -102,7 +110,7 @@
 
 function begin(response, headers, attempt, length) {
   const number = Number(/\d+$/.exec(attempt)?.[0]);
-  if (number % unframedEvery !== 0) {
+  if (!isOddTime() || number % unframedEvery !== 0) {
     response.writeHead(
       200,
       length === undefined ? headers : { "content-length": length, ...headers },
