--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -10,7 +10,7 @@
 } from "../lib-2/stage.mjs";
 
 const requests = 200;
-// One answer in 50 of one replica of three.
+// One answer in 50 of one replica of three, for 5 s.
 const garbledEvery = 50;
 const stage = new Stage(import.meta.url);
 
@@ -35,7 +35,7 @@
     const id = `order-${number}`;
     const bytes = formatRequest({ path: "/order/1", id, deadline: 3_000, body: "cedar" });
     answering.push(send(vm.front, bytes).then((answer) => ({ id, vm, answer })));
-    await sleep(50);
+    await sleep(30);
   }
   const broken = [];
   for (const { id, vm, answer } of await Promise.all(answering)) {
