Take only what names the request for its answer

Cause: an answer without the echoed identifier was rejected on kept connections only, and nothing looked at the receipt. Orders always have a new connection, so that any bytes with a status line passed for their answer. The heads of three tests in forwarding.test.ts and of stream-fixture.ts lacked the identifier or the receipt, which replicas always send; they have them now, and what those tests ask is unchanged.

--- a/packages/attempts/test/stream-fixture.ts
+++ b/packages/attempts/test/stream-fixture.ts
@@ -54,6 +54,7 @@
   priority: "request-priority",
   lastEventId: "last-event-id",
   requestId: "attempt-id",
+  receipt: "server-stamp",
   faultyTarget: "at-server",
   notRun: "not-executed",
   requestLimit: "limit",
@@ -62,7 +63,11 @@
   promptParts: "prompt-parts",
 };
 
-const answerHeaders = { "attempt-id": "request", "content-type": "text/event-stream" };
+const answerHeaders = {
+  "attempt-id": "request",
+  "server-stamp": "stamp",
+  "content-type": "text/event-stream",
+};
 
 export function formatEvent(id: number): string {
   return `id: ${id}\ndata: token-${id}\n\n`;
--- a/packages/forwarding/src/header-names.ts
+++ b/packages/forwarding/src/header-names.ts
@@ -5,6 +5,8 @@
 export interface HeaderNames {
   /// Identifies a request of a caller; the target echoes it.
   readonly requestId: string;
+  /// The target's receipt, which each of its successful answers carries.
+  readonly receipt: string;
   /// The time, in milliseconds, for which the caller or the router still waits.
   readonly deadline: string;
   /// The caller's key. Never forwarded.
--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -3,6 +3,7 @@
 import { limitBytesBeforeAnswer, type MessageBody, type Milliseconds } from "@lovagebend/common";
 import http from "node:http";
 import { Result } from "true-myth";
+import { findAnswerFault, statesNotRun } from "./answer-check.js";
 import type { AnswerMemory } from "./answer-memory.js";
 import { ExchangeEnd } from "./exchange-end.js";
 import type { HeaderNames } from "./header-names.js";
@@ -55,7 +56,6 @@
 // answers. The timeout is below the shortest latency objective of any route, so that another
 // target can still answer in time.
 const connectTimeout: Milliseconds = 250;
-const misdirectedStatus = 421;
 // Targets announce an answer with a few interim responses (status 1xx) at most.
 const maximumInterimResponses = 16;
 
@@ -139,16 +139,10 @@
         end.release();
       });
       const { statusCode: status = 0, headers } = message;
-      const echoedId = headers[headerNames.requestId];
-      if (echoedId !== undefined && echoedId !== request.id) {
+      const fault = findAnswerFault(message, request.id, outgoing.reusedSocket, headerNames);
+      if (fault !== undefined) {
         outgoing.destroy();
-        resolve({ kind: "unknown", reason: "the answer belongs to another request" });
-        return;
-      }
-      // On a kept connection it may be the answer to an earlier request, sent once more.
-      if (echoedId === undefined && outgoing.reusedSocket) {
-        outgoing.destroy();
-        resolve({ kind: "unknown", reason: "the answer on a kept connection names no request" });
+        resolve({ kind: "unknown", reason: fault });
         return;
       }
       const faultyTarget = headers[headerNames.faultyTarget];
@@ -157,7 +151,7 @@
         response: {
           status,
           message,
-          isNotRun: headers[headerNames.notRun] !== undefined || status === misdirectedStatus,
+          isNotRun: statesNotRun(message, headerNames),
           faultyTarget: typeof faultyTarget === "string" ? faultyTarget : undefined,
           isDelimited:
             headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -18,6 +18,7 @@
 
 const headerNames: HeaderNames = {
   requestId: "request-id",
+  receipt: "receipt",
   deadline: "deadline",
   apiKey: "key",
   workspace: "workspace",
@@ -202,7 +203,8 @@
 }
 
 function formatResponse(id: string, body: string): string {
-  return `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+  const head = `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nreceipt: s\r\n`;
+  return `${head}content-length: ${body.length}\r\n\r\n${body}`;
 }
 
 t.test("an answer to another request is rejected", async (t) => {
@@ -212,6 +214,42 @@
   t.same(await send("mine"), { kind: "unknown", reason: "the answer belongs to another request" });
 });
 
+// Guards against MIXED: each of these heads was taken for the answer to the request.
+for (const [head, reason] of [
+  ["200 OK\r\n", "the answer names no request"],
+  ["200 OK\r\nrequest-id: r\r\n", "the success has no receipt of its target"],
+  ["200 OK\r\nrequest-id: r\r\nreceipt:\r\n", "the success has no receipt of its target"],
+  ["299 Fine\r\nrequest-id: r\r\n", "the success has no receipt of its target"],
+  ["503 Full\r\n", "the answer names no request"],
+  ["421 Misdirected\r\n", "the answer names no request"],
+  ["500 Failed\r\n", "the answer names no request"],
+  ["200 OK\r\nrequest-id:\r\nreceipt: s\r\n", "the answer belongs to another request"],
+  ["200 OK\r\nrequest-id: r, r\r\nreceipt: s\r\n", "the answer belongs to another request"],
+] as const)
+  t.test(`${JSON.stringify(head)} is no answer to the request`, async (t) => {
+    const { send } = await startRawTarget((socket) =>
+      socket.write(`HTTP/1.1 ${head}content-length: 0\r\n\r\n`),
+    );
+    t.same(await send("r"), { kind: "unknown", reason });
+  });
+
+t.test("failures and refusals need no receipt", async (t) => {
+  for (const [head, isNotRun] of [
+    ["500 Failed\r\nrequest-id: r\r\n", false],
+    ["404 Unknown\r\nrequest-id: r\r\n", false],
+    ["421 Misdirected\r\nrequest-id: r\r\n", true],
+    ["503 Full\r\nrequest-id: r\r\nnot-run: 1\r\n", true],
+    ["503 Full\r\nnot-run: 1\r\n", true],
+  ] as const) {
+    const { send } = await startRawTarget((socket) =>
+      socket.write(`HTTP/1.1 ${head}content-length: 0\r\n\r\n`),
+    );
+    const outcome = await send("r");
+    if (outcome.kind !== "answered") throw new Error(`${head}: ${outcome.reason}`);
+    t.equal(outcome.response.isNotRun, isNotRun, head);
+  }
+});
+
 t.test("a late second answer is not read as the answer to the next request", async (t) => {
   const { send } = await startRawTarget((socket, index) => {
     socket.write(formatResponse(`r${index}`, `body-${index}`));
@@ -238,7 +276,7 @@
 
 t.test("an answer that is shorter than its content-length is an error", async (t) => {
   const { send } = await startRawTarget((socket) => {
-    socket.end("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nshort");
+    socket.end("HTTP/1.1 200 OK\r\nrequest-id: r\r\nreceipt: s\r\ncontent-length: 50\r\n\r\nshort");
   });
   const outcome = await send("r");
   if (outcome.kind !== "answered") throw new Error(outcome.reason);
@@ -249,7 +287,8 @@
   "an answer without a length is complete if its connection closes, an error if it is reset",
   async (t) => {
     const { send } = await startRawTarget((socket, index) => {
-      socket.write("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nunframed");
+      const head = "HTTP/1.1 200 OK\r\nrequest-id: r\r\nreceipt: s\r\nconnection: close\r\n\r\n";
+      socket.write(`${head}unframed`);
       setTimeout(() => (index === 1 ? socket.end() : socket.resetAndDestroy()), 10);
     });
     const ended = await send("r");
