Callers get a length or chunks, whatever framing the target chose

Cause: an answer without a length was passed on without one. The kernel ends the connections of a killed process plainly, which is how such an answer ends. A plain answer without a length now counts as whole only if its replica is not known to have ended, as streams did.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -14,7 +14,7 @@
 import { chooseReplica } from "./choose-replica.js";
 import { createEndError, isEndedByStop } from "./request-end.js";
 import type { LimitOutcome } from "./request-limiter.js";
-import type { AttemptServices, CallerAnswer, RoutedRequest, Framing } from "./routed-request.js";
+import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
 import type { Target } from "./observed-target.js";
 import type { TargetRegistry } from "./target-registry.js";
 
@@ -26,7 +26,6 @@
       readonly status: number;
       readonly rawHeaders: readonly string[];
       readonly body: Buffer;
-      readonly isDelimited: boolean;
     }
   | { readonly kind: "notRun"; readonly reason: string }
   | { readonly kind: "unknown"; readonly reason: string };
@@ -133,13 +132,10 @@
 }
 
 function deliver(
-  { status, rawHeaders, body, isDelimited }: Extract<DispatchOutcome, { kind: "whole" }>,
+  { status, rawHeaders, body }: Extract<DispatchOutcome, { kind: "whole" }>,
   answer: CallerAnswer,
 ): void {
-  const framing: Framing = isDelimited
-    ? { kind: "length", bytes: body.length }
-    : { kind: "untilClose" };
-  answer.begin(status, responseHeaders(rawHeaders), framing);
+  answer.begin(status, responseHeaders(rawHeaders), { kind: "length", bytes: body.length });
   answer.end(body);
 }
 
@@ -203,7 +199,7 @@
   target: Target,
   services: AttemptServices,
 ): Promise<DispatchOutcome> {
-  const { targetRegistry, clock, connections, headerNames } = services;
+  const { targetRegistry, clock, connections, headerNames, crashReporter } = services;
   const sentAt = clock.monotonicTime();
   const remainingTime = request.deadline - sentAt;
   const release = targetRegistry.begin(target.name, 1);
@@ -252,13 +248,12 @@
         }
         const body = await reading;
         if (body.isErr) return { kind: "unknown", reason: body.error };
-        return {
-          kind: "whole",
-          status,
-          rawHeaders: message.rawHeaders,
-          body: body.value,
-          isDelimited,
-        };
+        // The end of such an answer looks the same if the target itself has ended.
+        if (!isDelimited && (await crashReporter.isKnownToHaveEnded(target))) {
+          const reason = "the target ended, and with it the answer without a length";
+          return { kind: "unknown", reason };
+        }
+        return { kind: "whole", status, rawHeaders: message.rawHeaders, body: body.value };
       }
     }
   } finally {
--- a/packages/attempts/src/crash-reporter.ts
+++ b/packages/attempts/src/crash-reporter.ts
@@ -55,6 +55,20 @@
     }
   }
 
+  /// Whether it is certain that the process of `target` has ended. A target without a usable answer
+  /// counts as running, since only engines have to report.
+  async isKnownToHaveEnded(target: Target): Promise<boolean> {
+    const state = await this.queryProcess(target);
+    switch (state.kind) {
+      case "running":
+        return state.born !== target.born;
+      case "none":
+        return true;
+      case "unknown":
+        return false;
+    }
+  }
+
   private queryProcess(target: Target): Promise<ProcessState> {
     const existing = this.queries.get(target.name);
     if (existing !== undefined) return existing;
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -40,12 +40,11 @@
   readonly progress: RequestProgress;
 }
 
-/// How the end of an answer is marked for the caller. `untilClose` is for an answer whose
-/// target did not mark the end, so that the caller gets no stronger guarantee than the router.
+/// How the end of an answer is marked for the caller, whatever framing its target chose. `chunked` is
+/// for an answer whose length is not known when it begins; a caller that cannot read chunks gets the
+/// end of its connection as the mark.
 export type Framing =
-  | { readonly kind: "length"; readonly bytes: number }
-  | { readonly kind: "chunked" }
-  | { readonly kind: "untilClose" };
+  { readonly kind: "length"; readonly bytes: number } | { readonly kind: "chunked" };
 
 /// The answer's connection to the caller. `begin` is called once, before any bytes; `send`
 /// forwards bytes as they arrive and returns whether the caller keeps up with reading them. If
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -203,10 +203,9 @@
     return true;
   }
 
-  private beginAnswer({ message, isDelimited }: TargetResponse): void {
+  private beginAnswer({ message }: TargetResponse): void {
     if (this.answer.hasBegun) return;
-    const framing = isDelimited ? "chunked" : "untilClose";
-    this.answer.begin(200, responseHeaders(message.rawHeaders), { kind: framing });
+    this.answer.begin(200, responseHeaders(message.rawHeaders), { kind: "chunked" });
   }
 
   private endAnswer(): void {
--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -42,13 +42,12 @@
       case "length":
         responseHeaders["content-length"] = framing.bytes;
         break;
-      case "untilClose":
+      case "chunked":
+        if (this.response.req.httpVersion === "1.1") break;
         this.endsWithConnection = true;
         this.response.useChunkedEncodingByDefault = false;
         this.response.shouldKeepAlive = false;
         break;
-      case "chunked":
-        break;
     }
     if (this.shouldCloseConnection()) responseHeaders.connection = "close";
     this.response.writeHead(status, responseHeaders);
