--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,6 +28,14 @@
         { allowNumber: true, allowBoolean: true },
       ],
       "@typescript-eslint/switch-exhaustiveness-check": "error",
+      "no-restricted-properties": [
+        "error",
+        {
+          object: "AbortSignal",
+          property: "any",
+          message: "It loses timeouts and leaves entries at its sources; use withAnySignal.",
+        },
+      ],
     },
   },
   {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -22,6 +22,7 @@
   JsonRequest,
   JsonResponse,
 } from "./http-exchange.js";
+export { withAnySignal } from "./with-any-signal.js";
 export { guardCallback, runDetached } from "./detached.js";
 export { parseIpAddress } from "./ip-address.js";
 export { alignColumns } from "./columns.js";
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -1,7 +1,7 @@
 //! Gossip between entry VMs. They exchange heartbeats, suspicions of targets and the store's
 //! rows that the other side lacks. Each entry VM exchanges with one peer at a time, so that
 //! its cost does not grow with the number of entry VMs.
-import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
+import { withAnySignal, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
 import { GossipState, type GossipEntry } from "@lovagebend/membership";
 import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { RowStore, StoreEra } from "@lovagebend/store";
@@ -204,9 +204,9 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.sleepAbort = new AbortController();
-      await this.clock.sleep(
-        exchangeInterval * (0.75 + Math.random() / 2),
-        AbortSignal.any([signal, this.sleepAbort.signal]),
+      const interval = exchangeInterval * (0.75 + Math.random() / 2);
+      await withAnySignal([signal, this.sleepAbort.signal], (either) =>
+        this.clock.sleep(interval, either),
       );
       this.ownFacts.publish();
       const address = this.choice.chooseForExchange();
--- a/packages/entry/src/retry-loans.ts
+++ b/packages/entry/src/retry-loans.ts
@@ -1,7 +1,13 @@
 //! Loans of retry budget between entry VMs. Failures are distributed unevenly, and with many
 //! entry VMs an equal share of the budget is only a few retries, so an entry VM that runs
 //! short borrows from peers. A stream that waits for a retry asks several at once.
-import { validate, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
+import {
+  validate,
+  withAnySignal,
+  type Clock,
+  type Logger,
+  type Milliseconds,
+} from "@lovagebend/common";
 import { RetryPurpose, type RetryNeed, type SharedRetryBudget } from "@lovagebend/limits";
 import * as z from "zod";
 
@@ -71,7 +77,9 @@
     let askedAt: Milliseconds = -Infinity;
     while (!signal.aborted) {
       this.sleepAbort = new AbortController();
-      await clock.sleep(borrowInterval, AbortSignal.any([signal, this.sleepAbort.signal]));
+      await withAnySignal([signal, this.sleepAbort.signal], (either) =>
+        clock.sleep(borrowInterval, either),
+      );
       await clock.sleep(Math.max(0, askedAt + borrowInterval - clock.monotonicTime()), signal);
       const needs = budget.findNeeds(entryVmCount(), clock.monotonicTime());
       if (needs.length === 0) continue;
--- a/packages/store/src/table-follower.ts
+++ b/packages/store/src/table-follower.ts
@@ -1,7 +1,13 @@
 //! A change feed for one table: reads a snapshot, then long-polls for changes, and reads a
 //! new snapshot when the store no longer keeps the history that the feed needs, or has come
 //! back from a copy. While the store is unavailable the rows emitted so far stay valid.
-import { runDetached, type Clock, type Logger, type Milliseconds } from "@lovagebend/common";
+import {
+  runDetached,
+  withAnySignal,
+  type Clock,
+  type Logger,
+  type Milliseconds,
+} from "@lovagebend/common";
 import { merge, NEVER, Observable } from "rxjs";
 import { isLater, type Revision } from "./revision.js";
 import type { ChangeFeedResult, RowStore, StoredRow } from "./row-store.js";
@@ -103,6 +109,12 @@
   const interrupts = merge(options.pollRepeats ?? NEVER, store.era.changes).subscribe(() => {
     interruption.abort();
   });
+  const untilInterrupted = <Value>(task: (either: AbortSignal) => Promise<Value>): Promise<Value> =>
+    withAnySignal([signal, interruption.signal], task);
+  const sleep = (duration: Milliseconds): Promise<void> =>
+    untilInterrupted((either) => clock.sleep(duration, either));
+  const poll = (version: number, timeout: Milliseconds) =>
+    untilInterrupted((either) => store.waitForChanges(table, version, timeout, either));
   while (!signal.aborted) {
     if (interruption.signal.aborted) interruption = new AbortController();
     const requestedAt = clock.monotonicTime();
@@ -112,8 +124,7 @@
     if (reached !== undefined && reached.era < store.era.current) reached = undefined;
     const pause = reached === undefined || isUnavailable ? 0 : (options.pause?.() ?? 0);
     if (pause > 0) {
-      const interrupted = AbortSignal.any([signal, interruption.signal]);
-      await clock.sleep(Math.min(Math.ceil(pause), maximumPause), interrupted);
+      await sleep(Math.min(Math.ceil(pause), maximumPause));
       continue;
     }
     // A poll that returned rows early, but may have been read late, confirms the state before it
@@ -130,12 +141,7 @@
             kind: "whole" as const,
             ...snapshot,
           }))
-        : await store.waitForChanges(
-            table,
-            reached.version,
-            pollTimeout,
-            AbortSignal.any([signal, interruption.signal]),
-          );
+        : await poll(reached.version, pollTimeout);
     if (reached !== undefined && interruption.signal.aborted) continue;
     if (outcome.isErr) {
       if (!isUnavailable) logger.warn("store lost", { table, ...reached, reason: outcome.error });
@@ -180,7 +186,7 @@
     batchingDelay = isBurst
       ? Math.min(maximumBatchingDelay, Math.max(minimumBatchingDelay, batchingDelay * 2))
       : minimumBatchingDelay;
-    await clock.sleep(batchingDelay, AbortSignal.any([signal, interruption.signal]));
+    await sleep(batchingDelay);
   }
   interrupts.unsubscribe();
 }
