Ask about the lost engines of all services together; tests of two model services

Evidence: engine-failure-detector.test.ts before the change: not ok 6 - the losses of one service are confirmed beside unconfirmed ones of another Change: one call names the unconfirmed engines of all services.

--- a/packages/placement/src/engine-failure-detector.ts
+++ b/packages/placement/src/engine-failure-detector.ts
@@ -23,6 +23,8 @@
   private readonly failedProbes = new Map<string, number>();
   private readonly probesInProgress = new Set<string>();
   private readonly confirmedLost = new Set<string>();
+  /// The engines of all services about which other entry VMs are to be asked next.
+  private readonly unconfirmed = new Set<string>();
   private isAskingWitnesses = false;
   private delayCount = 0;
 
@@ -55,9 +57,9 @@
       (engine) => (this.failedProbes.get(engine) ?? 0) >= failureThreshold,
     );
     if (lost.length <= engines.length * maximumUnconfirmedShare) return new Set(lost);
-    const unconfirmed = lost.filter((engine) => !this.confirmedLost.has(engine));
-    if (unconfirmed.length > 0 && !this.isAskingWitnesses)
-      runDetached(this.logger, "confirmation of lost engines", this.confirm(unconfirmed));
+    for (const engine of lost) if (!this.confirmedLost.has(engine)) this.unconfirmed.add(engine);
+    if (this.unconfirmed.size > 0 && !this.isAskingWitnesses)
+      runDetached(this.logger, "confirmation of lost engines", this.confirm());
     return new Set(lost.filter((engine) => this.confirmedLost.has(engine)));
   }
 
@@ -87,13 +89,16 @@
 
   private forgetFailures(engine: string): boolean {
     this.confirmedLost.delete(engine);
+    this.unconfirmed.delete(engine);
     return this.failedProbes.delete(engine);
   }
 
   // An engine is confirmed lost if another entry VM has answered and none has reached the engine.
   // Without an answer this entry VM is probably partitioned.
-  private async confirm(engines: readonly string[]): Promise<void> {
+  private async confirm(): Promise<void> {
     this.isAskingWitnesses = true;
+    const engines = [...this.unconfirmed];
+    this.unconfirmed.clear();
     const unreachable = await this.witnesses.findUnreachable(engines).finally(() => {
       this.isAskingWitnesses = false;
     });
--- a/packages/placement/test/engine-failure-detector.test.ts
+++ b/packages/placement/test/engine-failure-detector.test.ts
@@ -94,6 +94,28 @@
 });
 
 // A process without processor time for 200 ms took engines for lost that had answered.
+// Guards against CONFIG: while the engines of one service stayed unconfirmed, those of another were never
+// asked about, and its layers not placed again.
+t.test("the losses of one service are confirmed beside unconfirmed ones of another", async (t) => {
+  const first = ["a", "b"];
+  const second = ["c", "d", "e"];
+  const lost = new Set([...first, "c", "d"]);
+  // Other entry VMs reach the engines of the first service.
+  const witnesses: LossWitnesses = {
+    findUnreachable: (asked) =>
+      Promise.resolve([new Set(asked.filter((name) => second.includes(name)))]),
+  };
+  const { detector, probe } = createDetector(lost, witnesses);
+  await probe([...lost]);
+  let found: ReadonlySet<string> = new Set();
+  for (let check = 0; check < 5; check += 1) {
+    t.same([...detector.findLostEngines(first)], []);
+    found = detector.findLostEngines(second);
+    await probe([]);
+  }
+  t.same([...found].sort(), ["c", "d"]);
+});
+
 t.test("probes that were in progress while the process was delayed don't count", async (t) => {
   const { detector, probe } = createDetector(new Set(["a"]));
   for (let tick = 0; tick < 3; tick += 1) {
