Take no answer that HTTP does not allow

Callers saw: answers with status 600, 999 or 101, of HTTP/0.9, with bytes of a coding that nobody decodes, and 500 for status 000. A stream whose engine sends a field with a space in its name ended the process of the entry VM, with all its streams. Cause: Node's parser takes all of these, and nothing checked what it had taken. A stream's answer is begun in a listener of the connection, where an exception of writeHead ends the process. Change: findHttpViolation for all responses that are read, of targets and of calls; for targets also the content coding and 206 that nobody asked for.

--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -4,6 +4,7 @@
 import { Result } from "true-myth";
 import { limitBytesBeforeAnswer } from "./bytes-before-answer.js";
 import type { Milliseconds } from "./clock.js";
+import { findHttpViolation } from "./http-violation.js";
 import { parseJsonText, writeJsonText } from "./json-text.js";
 import { ReceivedBody, Reception } from "./received-body.js";
 
@@ -37,7 +38,8 @@
 }
 
 /// `notSent`: no connection was established, so the server cannot have received the
-/// request. `unknown`: bytes may have been written, so the request may have taken effect.
+/// request. `unknown`: bytes may have been written, so the request may have taken effect; the response
+/// is missing or not one that HTTP allows.
 /// `malformed`: the response is too large or not JSON. `reason` is for people. `isRefused` is set if
 /// nothing listens on the address.
 export interface ExchangeFailure {
@@ -107,6 +109,11 @@
     });
     limitBytesBeforeAnswer(outgoing, failWithoutResponse);
     outgoing.on("response", (incoming) => {
+      const violation = findHttpViolation(incoming, request.headers ?? {});
+      if (violation !== undefined) {
+        fail("unknown", violation);
+        return;
+      }
       const received = new ReceivedBody(incoming.socket, { maximumBytes: maximumResponseBytes });
       incoming.on("data", (chunk: Buffer) => {
         if (received.add(chunk) !== Reception.Added)
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -29,6 +29,7 @@
 export { createLogger } from "./logger.js";
 export type { Logger, LogSink } from "./logger.js";
 export { rankByRendezvousHash } from "./rendezvous.js";
+export { findHttpViolation, HttpViolation } from "./http-violation.js";
 export { limitBytesBeforeAnswer } from "./bytes-before-answer.js";
 export { createNoRoomError, readBody, receiveBody } from "./read-body.js";
 export type { BodyMemory } from "./received-body.js";
--- /dev/null
+++ b/packages/common/test/http-exchange.test.ts
@@ -0,0 +1,58 @@
+//! Tests of single exchanges with servers whose responses HTTP does not allow.
+import net, { type AddressInfo, type Socket } from "node:net";
+import t from "tap";
+import { exchange, HttpViolation } from "../src/index.js";
+
+const body = "true";
+const length = `content-length: ${body.length}\r\n`;
+const chunks = `${body.length}\r\n${body}\r\n0\r\n\r\n`;
+
+async function exchangeWith(t: { teardown: (end: () => void) => void }, response: string) {
+  const sockets: Socket[] = [];
+  const server = net.createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => undefined);
+    socket.once("data", () => socket.end(response));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  return exchange({ url: { host: "127.0.0.1", port, path: "/" }, method: "GET", timeout: 1_000 });
+}
+
+// Guards against MIXED: such a response is taken for an answer, and passed on with its status.
+for (const [head, violation, rest = body] of [
+  [`HTTP/1.1 000 Odd\r\n${length}`, HttpViolation.Status],
+  [`HTTP/1.1 099 Odd\r\n${length}`, HttpViolation.Status],
+  [`HTTP/1.1 101 Odd\r\n${length}`, HttpViolation.Status],
+  [`HTTP/1.1 600 Odd\r\n${length}`, HttpViolation.Status],
+  [`HTTP/1.1 999 Odd\r\n${length}`, HttpViolation.Status],
+  [`HTTP/1.1 206 Part\r\n${length}`, HttpViolation.Status],
+  [`HTTP/0.9 200 OK\r\n${length}`, HttpViolation.Version],
+  [`HTTP/2.0 200 OK\r\n${length}`, HttpViolation.Version],
+  [`HTTP/1.1 204 None\r\n${length}`, HttpViolation.Framing],
+  ["HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n", HttpViolation.Framing],
+  ["HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n", HttpViolation.Framing, chunks],
+  ["HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n", HttpViolation.Framing, chunks],
+  [`HTTP/1.1 200 OK\r\nx a: b\r\n${length}`, HttpViolation.FieldName],
+] as const)
+  t.test(`${JSON.stringify(head)} is no response`, async (t) => {
+    const reply = await exchangeWith(t, `${head}\r\n${rest}`);
+    t.match(reply.isErr && reply.error, { kind: "unknown", reason: violation });
+  });
+
+for (const [head, status, rest = body] of [
+  [`HTTP/1.0 200 OK\r\n${length}`, 200],
+  [`HTTP/1.1 599 Odd\r\n${length}`, 599],
+  ["HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n", 200, chunks],
+  ["HTTP/1.1 200 OK\r\n", 200],
+  ["HTTP/1.1 204 None\r\n", 204, ""],
+] as const)
+  t.test(`${JSON.stringify(head)} is a response`, async (t) => {
+    const reply = await exchangeWith(t, `${head}\r\n${rest}`);
+    t.equal(reply.isOk && reply.value.status, status);
+    t.equal(reply.isOk && reply.value.body.toString(), rest === "" ? "" : body);
+  });
--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -139,7 +139,7 @@
         end.release();
       });
       const { statusCode: status = 0, headers } = message;
-      const fault = findAnswerFault(message, request.id, outgoing.reusedSocket, headerNames);
+      const fault = findAnswerFault(message, request, outgoing.reusedSocket, headerNames);
       if (fault !== undefined) {
         outgoing.destroy();
         resolve({ kind: "unknown", reason: fault });
