Pass on no promise "not run" that the target does not state

Callers saw: 408, 429 or 503 of a target that had run their order, which promises them that it has not, so that they send it again (REFUSED, TWICE). Cause: only the target's statement proves "not run", but the status was passed on without it.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -223,6 +223,7 @@
         ),
         body: request.body,
         requiresNewConnection: !isRetryable(request.route),
+        isRepeatable: isRetryable(request.route),
         timeLeft: remainingTime,
         signal: request.signal,
       },
--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -1,5 +1,6 @@
 //! One dispatch of a stream to the first engine of a path: the request, the engine's reply, and the
 //! events until the stream ends. What becomes of the events is up to the receiver.
+import { isRetryable } from "@lovagebend/catalog";
 import { runDetached, type Milliseconds } from "@lovagebend/common";
 import {
   EventSplitter,
@@ -167,6 +168,7 @@
         ),
         body: request.body,
         requiresNewConnection: false,
+        isRepeatable: isRetryable(request.route),
         timeLeft: remainingTime,
         signal: this.abort.signal,
       },
--- a/packages/forwarding/src/answer-check.ts
+++ b/packages/forwarding/src/answer-check.ts
@@ -9,6 +9,7 @@
   OtherRequest = "the answer belongs to another request",
   NoRequest = "the answer names no request",
   NoReceipt = "the success has no receipt of its target",
+  UnstatedRefusal = "the status promises that nothing ran, and the target does not state it",
   ContentCoding = "the success has a content coding that the caller did not ask for",
 }
 
@@ -16,9 +17,14 @@
 export interface AwaitedRequest {
   readonly id: string;
   readonly headers: http.OutgoingHttpHeaders;
+  /// Whether the request may run more than once.
+  readonly isRepeatable: boolean;
 }
 
 const misdirectedStatus = 421;
+// With these, callers send a request again that must not run twice. So they do with 421, which every
+// target gives only to a request that it has not run.
+const promisingStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
 /// Returns what keeps `message` from being the answer to `request`, or `undefined` if it is that answer.
 /// `isKeptConnection` states whether an earlier request was sent on its connection.
@@ -28,14 +34,17 @@
   isKeptConnection: boolean,
   headerNames: HeaderNames,
 ): AnswerFault | HttpViolation | undefined {
-  const { headers } = message;
+  const { headers, statusCode = 0 } = message;
   const echoedId = headers[headerNames.requestId];
   if (echoedId !== undefined && echoedId !== request.id) return AnswerFault.OtherRequest;
   // On a kept connection it may be the refusal of an earlier request, sent once more.
   const isRefusal = headers[headerNames.notRun] !== undefined;
   if (echoedId === undefined && (isKeptConnection || !isRefusal)) return AnswerFault.NoRequest;
   const violation = findHttpViolation(message, request.headers);
-  if (violation !== undefined || isRefusal || !isSuccess(message)) return violation;
+  if (violation !== undefined || isRefusal) return violation;
+  if (promisingStatuses.has(statusCode) && !request.isRepeatable)
+    return AnswerFault.UnstatedRefusal;
+  if (!isSuccess(statusCode)) return undefined;
   if ((headers[headerNames.receipt] ?? "") === "") return AnswerFault.NoReceipt;
   return hasUnwantedCoding(message, request) ? AnswerFault.ContentCoding : undefined;
 }
@@ -47,8 +56,8 @@
   );
 }
 
-function isSuccess({ statusCode = 0 }: http.IncomingMessage): boolean {
-  return statusCode >= 200 && statusCode < 300;
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
 }
 
 function hasUnwantedCoding({ headers }: http.IncomingMessage, request: AwaitedRequest): boolean {
--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -20,6 +20,8 @@
   /// Whether to open a new connection. On a keep-alive connection that the target is closing,
   /// the outcome of the request would be unknown.
   readonly requiresNewConnection: boolean;
+  /// Whether the request may run more than once.
+  readonly isRepeatable: boolean;
   /// The time until the deadline, at which the exchange ends, its answer read or not.
   readonly timeLeft: Milliseconds;
   /// Ends the exchange before its deadline.
