Answers that HTTP allows no body get no length of one

Callers saw: `Content-Length: 0` in answers with status 204, which HTTP forbids, and in answers to HEAD and with status 304 whose target had named another length. Cause: the length was always that of the body read, and an answer without a length counted as one that ends with its connection. Change: a framing of its own for them, with the length that the target has named, if any. Also: TargetRequest.isRetryable is named as in the rest of the code.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -14,7 +14,7 @@
 import { chooseReplica } from "./choose-replica.js";
 import { createEndError, isEndedByStop } from "./request-end.js";
 import type { LimitOutcome } from "./request-limiter.js";
-import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
+import type { AttemptServices, CallerAnswer, Framing, RoutedRequest } from "./routed-request.js";
 import type { Target } from "./observed-target.js";
 import type { TargetRegistry } from "./target-registry.js";
 
@@ -25,6 +25,7 @@
       readonly kind: "whole";
       readonly status: number;
       readonly rawHeaders: readonly string[];
+      readonly framing: Framing;
       readonly body: Buffer;
     }
   | { readonly kind: "notRun"; readonly reason: string }
@@ -132,10 +133,10 @@
 }
 
 function deliver(
-  { status, rawHeaders, body }: Extract<DispatchOutcome, { kind: "whole" }>,
+  { status, rawHeaders, framing, body }: Extract<DispatchOutcome, { kind: "whole" }>,
   answer: CallerAnswer,
 ): void {
-  answer.begin(status, responseHeaders(rawHeaders), { kind: "length", bytes: body.length });
+  answer.begin(status, responseHeaders(rawHeaders), framing);
   answer.end(body);
 }
 
@@ -223,7 +224,7 @@
         ),
         body: request.body,
         requiresNewConnection: !isRetryable(request.route),
-        isRepeatable: isRetryable(request.route),
+        isRetryable: isRetryable(request.route),
         timeLeft: remainingTime,
         signal: request.signal,
       },
@@ -237,7 +238,7 @@
       case "unknown":
         return { kind: "unknown", reason: reply.reason };
       case "answered": {
-        const { status, message, isNotRun, isDelimited } = reply.response;
+        const { status, message, isNotRun, isDelimited, mayHaveBody } = reply.response;
         const limit = message.headers[headerNames.requestLimit];
         services.requestLimiter.recordAnswer(target, limit?.toString(), sentAt);
         recordReportedLoad(target.name, message.headers[headerNames.load], targetRegistry);
@@ -254,7 +255,10 @@
           const reason = "the target ended, and with it the answer without a length";
           return { kind: "unknown", reason };
         }
-        return { kind: "whole", status, rawHeaders: message.rawHeaders, body: body.value };
+        const framing: Framing = mayHaveBody
+          ? { kind: "length", bytes: body.value.length }
+          : { kind: "noBody", announcedLength: message.headers["content-length"] };
+        return { kind: "whole", status, rawHeaders: message.rawHeaders, framing, body: body.value };
       }
     }
   } finally {
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -42,9 +42,12 @@
 
 /// How the end of an answer is marked for the caller, whatever framing its target chose. `chunked` is
 /// for an answer whose length is not known when it begins; a caller that cannot read chunks gets the
-/// end of its connection as the mark.
+/// end of its connection as the mark. `noBody` is for an answer that HTTP allows none; it carries the
+/// length that the target has announced, if any.
 export type Framing =
-  { readonly kind: "length"; readonly bytes: number } | { readonly kind: "chunked" };
+  | { readonly kind: "length"; readonly bytes: number }
+  | { readonly kind: "chunked" }
+  | { readonly kind: "noBody"; readonly announcedLength: string | undefined };
 
 /// The answer's connection to the caller. `begin` is called once, before any bytes; `send`
 /// forwards bytes as they arrive and returns whether the caller keeps up with reading them. If
--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -168,7 +168,7 @@
         ),
         body: request.body,
         requiresNewConnection: false,
-        isRepeatable: isRetryable(request.route),
+        isRetryable: isRetryable(request.route),
         timeLeft: remainingTime,
         signal: this.abort.signal,
       },
--- a/packages/entry/src/caller-answer.ts
+++ b/packages/entry/src/caller-answer.ts
@@ -7,6 +7,7 @@
 // Several times the size of a usual streamed answer, and above the amount at which Node's
 // response emits "drain".
 const maximumUnreadBytes = 64 * 1024;
+const noContentStatus = 204;
 const noRoomReason = "no memory for the answer";
 // For a caller that has stopped reading.
 const abortTimeout: Milliseconds = 1_000;
@@ -40,7 +41,7 @@
     const responseHeaders: http.OutgoingHttpHeaders = { ...headers };
     switch (framing.kind) {
       case "length":
-        responseHeaders["content-length"] = framing.bytes;
+        if (status !== noContentStatus) responseHeaders["content-length"] = framing.bytes;
         break;
       case "chunked":
         if (this.response.req.httpVersion === "1.1") break;
@@ -48,6 +49,10 @@
         this.response.useChunkedEncodingByDefault = false;
         this.response.shouldKeepAlive = false;
         break;
+      case "noBody":
+        if (framing.announcedLength !== undefined && status !== noContentStatus)
+          responseHeaders["content-length"] = framing.announcedLength;
+        break;
     }
     if (this.shouldCloseConnection()) responseHeaders.connection = "close";
     this.response.writeHead(status, responseHeaders);
--- a/packages/forwarding/src/answer-check.ts
+++ b/packages/forwarding/src/answer-check.ts
@@ -18,12 +18,12 @@
   readonly id: string;
   readonly headers: http.OutgoingHttpHeaders;
   /// Whether the request may run more than once.
-  readonly isRepeatable: boolean;
+  readonly isRetryable: boolean;
 }
 
 const misdirectedStatus = 421;
-// With these, callers send a request again that must not run twice. So they do with 421, which every
-// target gives only to a request that it has not run.
+// After these, callers repeat even a request that must not run twice. 421 is missing, since with that
+// status itself the target states that it did not run the request.
 const promisingStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
 /// Returns what keeps `message` from being the answer to `request`, or `undefined` if it is that answer.
@@ -42,8 +42,7 @@
   if (echoedId === undefined && (isKeptConnection || !isRefusal)) return AnswerFault.NoRequest;
   const violation = findHttpViolation(message, request.headers);
   if (violation !== undefined || isRefusal) return violation;
-  if (promisingStatuses.has(statusCode) && !request.isRepeatable)
-    return AnswerFault.UnstatedRefusal;
+  if (promisingStatuses.has(statusCode) && !request.isRetryable) return AnswerFault.UnstatedRefusal;
   if (!isSuccess(statusCode)) return undefined;
   if ((headers[headerNames.receipt] ?? "") === "") return AnswerFault.NoReceipt;
   return hasUnwantedCoding(message, request) ? AnswerFault.ContentCoding : undefined;
--- a/packages/forwarding/src/target-exchange.ts
+++ b/packages/forwarding/src/target-exchange.ts
@@ -21,7 +21,7 @@
   /// the outcome of the request would be unknown.
   readonly requiresNewConnection: boolean;
   /// Whether the request may run more than once.
-  readonly isRepeatable: boolean;
+  readonly isRetryable: boolean;
   /// The time until the deadline, at which the exchange ends, its answer read or not.
   readonly timeLeft: Milliseconds;
   /// Ends the exchange before its deadline.
@@ -35,8 +35,10 @@
   readonly message: http.IncomingMessage;
   readonly isNotRun: boolean;
   readonly faultyTarget: string | undefined;
-  /// Whether the answer has a length or chunked encoding. Otherwise the answer ends when the
-  /// connection closes, and a truncated answer cannot be detected.
+  /// Whether HTTP allows the answer a body, by its status and the method of the request.
+  readonly mayHaveBody: boolean;
+  /// Whether the answer has a length or chunked encoding, or may have no body. Otherwise the answer
+  /// ends when the connection closes, and a truncated answer cannot be detected.
   readonly isDelimited: boolean;
   /// The error of the connection, if it has failed. Node's client reports an answer without a
   /// length as complete even if its connection was reset.
@@ -58,6 +60,7 @@
 // answers. The timeout is below the shortest latency objective of any route, so that another
 // target can still answer in time.
 const connectTimeout: Milliseconds = 250;
+const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 // Targets announce an answer with a few interim responses (status 1xx) at most.
 const maximumInterimResponses = 16;
 
@@ -148,6 +151,7 @@
         return;
       }
       const faultyTarget = headers[headerNames.faultyTarget];
+      const mayHaveBody = request.method !== "HEAD" && !bodylessStatuses.has(status);
       resolve({
         kind: "answered",
         response: {
@@ -155,8 +159,11 @@
           message,
           isNotRun: statesNotRun(message, headerNames),
           faultyTarget: typeof faultyTarget === "string" ? faultyTarget : undefined,
+          mayHaveBody,
           isDelimited:
-            headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
+            !mayHaveBody ||
+            headers["content-length"] !== undefined ||
+            headers["transfer-encoding"] !== undefined,
           getConnectionError: () => connectionError,
           onEnd: (callback) => {
             end.onEnd(callback);
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -192,7 +192,7 @@
         headers: {},
         body: MessageBody.of(Buffer.alloc(0)),
         requiresNewConnection: false,
-        isRepeatable: false,
+        isRetryable: false,
         timeLeft: 5_000,
         signal: new AbortController().signal,
         ...overrides,
