Count only whole numbers of tokens

Cause: any numbers with a finite sum were taken for counts and added to the load of engines; the histogram of the estimate's error throws in a listener for what is no number. Change: counts have one to nine digits; anything else counts as none.

--- a/packages/entry/src/route-request.ts
+++ b/packages/entry/src/route-request.ts
@@ -9,6 +9,7 @@
 const maximumIdentifierLength = 200;
 const maximumPartIdentifierLength = 64;
 const maximumSharedParts = 32;
+const tokenCountPattern = /^\s*\d{1,9}\s*$/;
 
 /// Applies `table` to a request with the whole `body`, and records the name of its route in `open`.
 /// Throws a `RouterError` if `table` does not allow the request or it is not well formed.
@@ -85,17 +86,17 @@
 }
 
 // Parses the prompt's token count and the maximum of the answer's. Their sum stands for the
-// memory that the request takes at engines.
+// memory that the request takes at engines. Counts that no prompt has are taken for none.
 function parseTokenCounts(
   request: http.IncomingMessage,
   header: string,
 ): Pick<RoutedRequest, "tokens" | "promptTokens"> {
   const declared = request.headers[header];
-  const [prompt = 0, answer = 0] =
-    typeof declared === "string" ? declared.split(",").map(Number) : [];
-  return Number.isFinite(prompt + answer)
-    ? { tokens: prompt + answer, promptTokens: prompt }
-    : { tokens: 0, promptTokens: 0 };
+  const counts = typeof declared === "string" ? declared.split(",") : [];
+  if (!counts.every((count) => tokenCountPattern.test(count)))
+    return { tokens: 0, promptTokens: 0 };
+  const [prompt = 0, answer = 0] = counts.map(Number);
+  return { tokens: prompt + answer, promptTokens: prompt };
 }
 
 // The last part of a prompt belongs to the request itself or to its session.
