--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -7,6 +7,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { Proxy } from "./proxy.mjs";
 import { Store } from "./store.mjs";
 
 export const root = fileURLToPath(new URL("../..", import.meta.url));
@@ -61,8 +62,9 @@
   store = new Store();
   directory = mkdtempSync(join(tmpdir(), "review-3-"));
   entryVms = [];
+  /// Those between the entry VMs and the store, in the order of the entry VMs.
+  proxies = [];
   targets = new Set();
-  nextNumber = 0;
 
   constructor(record) {
     this.record = record;
@@ -78,7 +80,10 @@
     while (hosts.length < count) hosts.push(await findFreeHost());
     for (const [index, host] of hosts.entries()) {
       const seeds = hosts.map((each) => `${each}:${peersPort}`);
-      this.entryVms.push(new EntryVm(`edge-${index + 1}`, host, storePort, seeds, this.directory));
+      const proxy = new Proxy(storePort);
+      this.proxies.push(proxy);
+      const port = await proxy.listen();
+      this.entryVms.push(new EntryVm(`edge-${index + 1}`, host, port, seeds, this.directory));
     }
     for (const entryVm of this.entryVms) entryVm.start();
   }
@@ -96,6 +101,7 @@
   async close() {
     await Promise.all(this.entryVms.map((entryVm) => entryVm.close()));
     for (const target of this.targets) target.close();
+    for (const proxy of this.proxies) proxy.close();
     this.store.close();
     rmSync(this.directory, { recursive: true, force: true });
   }
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -16,6 +16,8 @@
   version = 0;
   rows = new Map();
   waiters = new Set();
+  /// The polls of the feed so far: table, longest wait and the time of their beginning.
+  polls = [];
   server = http.createServer((request, response) => {
     void this.handle(request, response).catch(() => response.destroy());
   });
@@ -77,7 +79,9 @@
       }
       case "/rows-feed": {
         const after = Number(query.get("after_rev"));
-        const end = performance.now() + Number(query.get("wait_ms") ?? 0);
+        const wait = Number(query.get("wait_ms") ?? 0);
+        this.polls.push({ table, wait, at: performance.now() });
+        const end = performance.now() + wait;
         while (this.list(table, after).length === 0 && performance.now() < end) {
           if (response.destroyed) return;
           await this.waitForChange(end - performance.now());
