--- a/review/lib-3/targets.mjs
+++ b/review/lib-3/targets.mjs
@@ -140,7 +140,8 @@
   eventPause = 40;
   firstEventAfter = 30;
   loadMilliseconds = 1_000;
-  /// Called for each request that begins to run; may end the engine or the connection.
+  /// Called for each request that begins to run. May end the engine, have the answer lost, or have it
+  /// broken off after a quarter of its events.
   onRun = () => undefined;
 
   describe() {
@@ -271,10 +272,16 @@
     if (this.hasEnded || response.destroyed) return;
     this.runs.push({ ...run, at: performance.now() });
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
-    if (this.onRun(request, this) === "lost") {
+    const fault = this.onRun(request, this);
+    if (fault === "lost") {
       request.socket.resetAndDestroy();
       return;
     }
+    if (fault === "broken off") {
+      // No length and no chunks: the answer ends with its connection.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(200, {
       ...this.answerHeaders(request),
       "content-type": "text/event-stream",
@@ -282,6 +289,7 @@
     });
     for (let event = first; event <= this.eventCount; event += 1) {
       if (this.hasEnded || response.destroyed) return;
+      if (fault === "broken off" && event > first + this.eventCount / 4) break;
       response.write(`id: ${event}\ndata: ${computeToken(event, run.parts)}\n\n`);
       await sleep(this.eventPause);
     }
