--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -13,12 +13,14 @@
 import { document } from "../lib-3/document.mjs";
 import { computeToken, Engine, isWholePath, layerCount, wholeModel } from "../lib-3/targets.mjs";
 
-// Two periods of 20 s at most, with a pause between them.
+// Three periods of 20 s at most, with a pause between them.
 const roundsPerPeriod = 3;
-const periods = 2;
+const periods = 3;
 const pauseBetweenPeriods = 4_000;
 const enginesAtStart = 38;
 const leavingShare = 0.25;
+// Of those that leave; the others report that they are draining.
+const unannouncedShare = 0.3;
 // Three of the more than 100 streams of a round are deadly, which is a share below 0.03.
 const streamsPerSecond = 20;
 const deadlyPerRound = 3;
@@ -107,9 +109,15 @@
       .map((engine) => ({ engine, order: random() }))
       .sort((left, right) => left.order - right.order)
       .slice(0, Math.floor(leavingShare * staying.length));
-    for (const { engine } of leaving) {
-      record.add(`entry of ${engine.id} removed`);
-      engine.leaveUnannounced();
+    const unannounced = Math.round(unannouncedShare * leaving.length);
+    for (const [index, { engine }] of leaving.entries()) {
+      if (index < unannounced) {
+        record.add(`entry of ${engine.id} removed`);
+        engine.leaveUnannounced();
+      } else {
+        record.add(`${engine.id} is draining`);
+        engine.leaveAnnounced();
+      }
     }
     await sleep(1_500);
     while (listServing().length < enginesAtStart) await startEngine();
--- a/review/lib-3/targets.mjs
+++ b/review/lib-3/targets.mjs
@@ -303,6 +303,17 @@
     setTimeout(() => this.deployment.store.remove("servers", this.id), 3 * 1_200).unref();
   }
 
+  /// Reports that it is draining, serves on for a while and ends.
+  leaveAnnounced() {
+    this.state = "draining";
+    this.isLeaving = true;
+    this.publish();
+    setTimeout(() => {
+      this.end();
+      this.deployment.store.remove("servers", this.id);
+    }, drainMilliseconds + 1_000).unref();
+  }
+
   /// Leaves as some replicas do: the entry is removed, and the engine serves on for a while.
   leaveUnannounced() {
     this.isUnlisted = true;
