A path that has changed before its stream is sent is logged and counted

Change: a chosen path carries the time of its choice. Before a dispatch its parts are compared with the list of targets; `path outdated` names those that are gone, leave or hold other layers, with the age of the path, and `lovagebend_path_part_faults_total` counts them by fault.

--- a/packages/attempts/src/dispatch-succession.ts
+++ b/packages/attempts/src/dispatch-succession.ts
@@ -2,9 +2,9 @@
 //! first engine. An engine that is only silent keeps the stream until its successor continues it.
 import { runDetached } from "@lovagebend/common";
 import { isRetryable } from "@lovagebend/catalog";
-import type { PathPart } from "@lovagebend/routing";
 import type { AnswerState } from "./answer-state.js";
 import { recordOutcome } from "./dispatch-record.js";
+import type { ChosenPath } from "./path-faults.js";
 import { maximumDispatchesBeforeBegin, type PathSearch } from "./path-search.js";
 import { findPromptRefusal } from "./prompt-admission.js";
 import type { StreamDispatch } from "./stream-dispatch.js";
@@ -16,7 +16,7 @@
   constructor(
     private readonly state: AnswerState,
     private readonly search: PathSearch,
-    private readonly createDispatch: (path: readonly PathPart[]) => StreamDispatch | undefined,
+    private readonly createDispatch: (path: ChosenPath) => StreamDispatch | undefined,
   ) {}
 
   /// Moves the answer off the `excluded` targets: to another path behind the same first engine
--- a/packages/attempts/src/path-search.ts
+++ b/packages/attempts/src/path-search.ts
@@ -2,11 +2,11 @@
 //! whose answer has not begun is refused if there is no path; an answer that has begun waits for one.
 import { ErrorKind, type Milliseconds } from "@lovagebend/common";
 import { RetryPurpose } from "@lovagebend/limits";
-import type { PathPart } from "@lovagebend/routing";
 import { createRefusal } from "./answer-refusal.js";
 import type { AnswerState } from "./answer-state.js";
 import type { StreamOutcome } from "./stream-outcome.js";
 import { findPatience } from "./caller-departure.js";
+import type { ChosenPath } from "./path-faults.js";
 import { StreamPaths } from "./stream-paths.js";
 
 // Before the answer has begun, an early refusal lets the caller retry instead of waiting for
@@ -35,7 +35,7 @@
 
   /// Finds the path of the next dispatch. Returns `undefined` if the deadline passes or the request
   /// ends during the wait.
-  find(): Promise<readonly PathPart[] | undefined> {
+  find(): Promise<ChosenPath | undefined> {
     return this.state.answer.hasBegun ? this.waitForPath() : this.findFirstPath();
   }
 
@@ -69,7 +69,7 @@
     this.refusalPause = Math.min(maximumRefusalPause, this.refusalPause * 2);
   }
 
-  private async findFirstPath(): Promise<readonly PathPart[]> {
+  private async findFirstPath(): Promise<ChosenPath> {
     const { state, paths } = this;
     const { excludedTargets } = state;
     // A further offer counts as a retry even if it is refused. What full engines accept shows in the
@@ -98,18 +98,18 @@
 
   // Whether the answer goes on before its caller leaves. A caller that has stayed for longer than
   // callers are known to stay is served in any case.
-  private continuesInTime(path: readonly PathPart[]): boolean {
+  private continuesInTime({ parts }: ChosenPath): boolean {
     const { request, services, lastEventAt } = this.state;
     const timeLeft = lastEventAt + findPatience(request.route) - services.clock.monotonicTime();
-    return timeLeft <= 0 || (this.paths.estimate(path)?.leastFirstEvent ?? 0) <= timeLeft;
+    return timeLeft <= 0 || (this.paths.estimate(parts)?.leastFirstEvent ?? 0) <= timeLeft;
   }
 
   // Refuses a request that would begin after its caller has left. The chosen path is the quickest one
   // if none keeps the objectives.
-  private assertBeginsInTime(path: readonly PathPart[]): void {
+  private assertBeginsInTime({ parts }: ChosenPath): void {
     const { state } = this;
     const timeLeft = state.callerLeavesAt - state.services.clock.monotonicTime();
-    const needed = this.paths.estimate(path)?.leastFirstEvent ?? 0;
+    const needed = this.paths.estimate(parts)?.leastFirstEvent ?? 0;
     if (needed <= timeLeft) return;
     const wait = Math.min(maximumBeginWait, Math.max(minimumBeginWait, needed - timeLeft));
     const detail = `First event in ${Math.round(needed)} ms, the caller leaves in ${Math.round(timeLeft)} ms.`;
@@ -119,7 +119,7 @@
 
   // Waits for missing layers to be placed again, for engines that refused to have capacity again,
   // and for the budget, until the deadline.
-  private async waitForPath(): Promise<readonly PathPart[] | undefined> {
+  private async waitForPath(): Promise<ChosenPath | undefined> {
     const { paths } = this;
     const { request, services, excludedTargets } = this.state;
     const { clock } = services;
--- a/packages/attempts/src/stream-log.ts
+++ b/packages/attempts/src/stream-log.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "@lovagebend/common";
 import type { PathPart } from "@lovagebend/routing";
 import type { AnswerState } from "./answer-state.js";
+import type { FaultyPart } from "./path-faults.js";
 import type { StreamDispatch } from "./stream-dispatch.js";
 import type { StreamOutcome } from "./stream-outcome.js";
 
@@ -31,6 +32,10 @@
   return path.map(({ target, first, end }) => `${target}:${first}-${end}`).join(" ");
 }
 
+export function formatFaults(faults: readonly FaultyPart[]): string {
+  return faults.map(({ part, fault }) => `${formatParts([part])} ${fault}`).join(", ");
+}
+
 export function roundTime(time: Milliseconds | undefined): Milliseconds | undefined {
   return time === undefined ? undefined : Math.round(time);
 }
--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -10,6 +10,7 @@
 } from "@lovagebend/routing";
 import { estimateEngineLoad, type EngineLoad } from "./engine-cost.js";
 import { estimatePath, type PathEstimate } from "./first-event-estimate.js";
+import type { ChosenPath } from "./path-faults.js";
 import { chooseSpreadPath, findQuickestPath, type StreamObjectives } from "./path-spread.js";
 import { drawNearTargets } from "./searched-data-centres.js";
 import type { AttemptServices } from "./routed-request.js";
@@ -206,8 +207,8 @@
 
   /// Like `choose` for a new dispatch. Takes the request out of the limit of the first target,
   /// the one that receives it.
-  async chooseWithinLimits(excluded: readonly string[]): Promise<readonly PathPart[] | undefined> {
-    const { targetRegistry, requestLimiter } = this.services;
+  async chooseWithinLimits(excluded: readonly string[]): Promise<ChosenPath | undefined> {
+    const { targetRegistry, requestLimiter, clock } = this.services;
     const notFirst = new Set<string>();
     this.limitRetryAfter = undefined;
     const leaveOut = (name: string, retryAfter: Milliseconds): void => {
@@ -219,17 +220,18 @@
       if (outcome.kind === "denied") leaveOut(target.name, outcome.retryAfter);
     }
     for (;;) {
-      const path = this.chooseWithinLinks(undefined, excluded, notFirst);
-      const first = path?.[0] === undefined ? undefined : targetRegistry.get(path[0].target);
-      if (first === undefined) return path;
+      const parts = this.chooseWithinLinks(undefined, excluded, notFirst);
+      const first = parts?.[0] === undefined ? undefined : targetRegistry.get(parts[0].target);
+      if (parts === undefined || first === undefined) return undefined;
+      const chosenAt = clock.monotonicTime();
       const outcome = await requestLimiter.acquire(first);
-      if (outcome.kind === "allowed") return path;
+      if (outcome.kind === "allowed") return { parts, chosenAt };
       leaveOut(first.name, outcome.retryAfter);
     }
   }
 
   /// Like `chooseWithinLimits`, without targets that recently refused requests.
-  chooseWithoutRefusing(excluded: readonly string[]): Promise<readonly PathPart[] | undefined> {
+  chooseWithoutRefusing(excluded: readonly string[]): Promise<ChosenPath | undefined> {
     return this.chooseWithinLimits([...excluded, ...this.findRefusing()]);
   }
 
--- a/packages/attempts/src/stream-pauses.ts
+++ b/packages/attempts/src/stream-pauses.ts
@@ -1,6 +1,7 @@
 //! The pauses that the caller of a stream sees: the time to its first event and the longest time
 //! between two of its events, with whether the stream was moved to other engines in or before it.
 import type { Milliseconds } from "@lovagebend/common";
+import type { PartFault } from "./path-faults.js";
 
 /// Whether a stream was moved before its longest pause, in it, or neither.
 export enum PauseCause {
@@ -17,6 +18,8 @@
   recordEstimateError(seconds: number): void;
   /// Records whether a prompt was allowed to cross a link between data centres.
   recordLinkTransfer(isAllowed: boolean): void;
+  /// Records that a part of a path could no longer be used when a stream was to be sent on it.
+  recordPartFault(fault: PartFault): void;
 }
 
 export class StreamPauses {
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -6,18 +6,19 @@
 import { isRetryable } from "@lovagebend/catalog";
 import { ErrorKind, RouterError, RunState } from "@lovagebend/common";
 import { responseHeaders, type CompleteEvents, type TargetResponse } from "@lovagebend/forwarding";
-import type { PathPart } from "@lovagebend/routing";
 import { breakOff, checkEnded, createRefusal, getErrorKind } from "./answer-refusal.js";
 import { AnswerStart } from "./answer-start.js";
 import { AnswerState } from "./answer-state.js";
 import { recordOutcome } from "./dispatch-record.js";
 import { DispatchSuccession } from "./dispatch-succession.js";
+import { findFaultyParts, type ChosenPath } from "./path-faults.js";
 import { PathSearch } from "./path-search.js";
 import { endIfQuarantined } from "./prompt-admission.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
 import { StreamDispatch } from "./stream-dispatch.js";
 import { DispatchEnd, type StreamOutcome, type StreamReceiver } from "./stream-outcome.js";
 import { AnswerEnd, findAnswerEnd } from "./stream-end.js";
+import { formatFaults, formatParts, roundTime } from "./stream-log.js";
 import type { Urgency } from "./stream-watch.js";
 
 /// Executes `request` and streams its events to `answer`. Throws a `RouterError` on a failure
@@ -154,9 +155,11 @@
     throw createRefusal(state, ErrorKind.TargetUnreachable, state.reason);
   }
 
-  private createDispatch(path: readonly PathPart[]): StreamDispatch | undefined {
+  private createDispatch(path: ChosenPath): StreamDispatch | undefined {
     const { request, services, state } = this;
-    const first = path[0] === undefined ? undefined : services.targetRegistry.get(path[0].target);
+    const { parts } = path;
+    this.reportFaults(path);
+    const first = parts[0] === undefined ? undefined : services.targetRegistry.get(parts[0].target);
     state.dispatches += 1;
     this.search.recordDispatch();
     if (first === undefined) {
@@ -164,9 +167,22 @@
       return undefined;
     }
     const start = this.createStart();
-    const expected = this.search.paths.estimate(path)?.firstEvent;
+    const expected = this.search.paths.estimate(parts)?.firstEvent;
     const { lastEventId } = state;
-    return new StreamDispatch(first, path, start, lastEventId, request, this, services, expected);
+    return new StreamDispatch(first, parts, start, lastEventId, request, this, services, expected);
+  }
+
+  private reportFaults({ parts, chosenAt }: ChosenPath): void {
+    const { targetRegistry, clock, logger, metrics } = this.services;
+    const faults = findFaultyParts(parts, targetRegistry);
+    if (faults.length === 0) return;
+    for (const { fault } of faults) metrics.recordPartFault(fault);
+    logger.warn("path outdated", {
+      request: this.request.id,
+      path: formatParts(parts),
+      faults: formatFaults(faults),
+      age: roundTime(clock.monotonicTime() - chosenAt),
+    });
   }
 
   private createStart(): AnswerStart {
--- a/packages/attempts/test/choice-cost.test.ts
+++ b/packages/attempts/test/choice-cost.test.ts
@@ -73,7 +73,7 @@
     },
   };
   const paths = new StreamPaths(service, services as AttemptServices);
-  t.equal((await paths.chooseWithoutRefusing([]))?.length, 1);
+  t.equal((await paths.chooseWithoutRefusing([]))?.parts.length, 1);
   t.equal(counts, 2, "of the data centre, and of all");
 });
 
--- a/packages/attempts/test/stream-fixture.ts
+++ b/packages/attempts/test/stream-fixture.ts
@@ -308,6 +308,7 @@
         recordLongestPause: (seconds, cause) => this.longestPauses.push({ seconds, cause }),
         recordEstimateError: discard,
         recordLinkTransfer: discard,
+        recordPartFault: discard,
       },
       admissions: new FairAdmissions(),
       links: new LinkBudget(),
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -1,6 +1,6 @@
 //! The Prometheus metrics of an entry VM: counters of answers, refusals, aborted streams and
 //! requests without an answer, a latency histogram, and gauges that other modules add.
-import type { PauseCause, StreamMetrics } from "@lovagebend/attempts";
+import type { PartFault, PauseCause, StreamMetrics } from "@lovagebend/attempts";
 import type { ExchangeReport } from "@lovagebend/forwarding";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
@@ -120,6 +120,16 @@
     ["decision"],
   );
 
+  private readonly partFaults = this.createCounter(
+    "path_part_faults_total",
+    "Parts of paths that had changed between choice and dispatch",
+    ["fault"],
+  );
+
+  recordPartFault(fault: PartFault): void {
+    this.partFaults.inc({ fault });
+  }
+
   recordLinkTransfer(isAllowed: boolean): void {
     this.linkTransfers.inc({ decision: isAllowed ? "allowed" : "denied" });
   }
