Streams are sent on paths that are whole at that moment

Cause: a stream whose prompt was under suspicion waited for evidence between the choice of its path and its dispatch. Engines that left in that time were left out of the hops, since `formatHops` dropped parts whose targets were no longer listed, and engines don't check a path for gaps. Change: only an `EnginePath` can be sent, in a request or to change the path of a running answer. It is made from the list of targets at that moment and has every layer once and in order, or it can't be made. A path whose parts have gone, leave, are suspected or hold other layers is given up: another one is found in the same attempt, without a retry or a run, and if there is none the request is refused at once. After a wait for evidence the path is always found anew, with a new grant of a target that names a limit.

--- a/packages/attempts/src/dispatch-succession.ts
+++ b/packages/attempts/src/dispatch-succession.ts
@@ -4,7 +4,7 @@
 import { isRetryable } from "@lovagebend/catalog";
 import type { AnswerState } from "./answer-state.js";
 import { recordOutcome } from "./dispatch-record.js";
-import type { ChosenPath } from "./path-faults.js";
+import type { EnginePath } from "./engine-path.js";
 import { maximumDispatchesBeforeBegin, type PathSearch } from "./path-search.js";
 import { findPromptRefusal } from "./prompt-admission.js";
 import type { StreamDispatch } from "./stream-dispatch.js";
@@ -16,7 +16,7 @@
   constructor(
     private readonly state: AnswerState,
     private readonly search: PathSearch,
-    private readonly createDispatch: (path: ChosenPath) => StreamDispatch | undefined,
+    private readonly createDispatch: (path: EnginePath) => StreamDispatch,
   ) {}
 
   /// Moves the answer off the `excluded` targets: to another path behind the same first engine
@@ -24,26 +24,22 @@
   async reroute(excluded: readonly string[], reason: string, urgency: Urgency): Promise<void> {
     const { request, services, current } = this.state;
     const { targetRegistry, engines, logger, formatPath } = services;
-    const firstPart = current?.path[0];
+    const firstPart = current?.path.first;
     if (current === undefined || firstPart === undefined) return;
     const address = targetRegistry.get(firstPart.target);
     if (address === undefined || excluded.includes(firstPart.target)) {
       await this.moveToAnotherEngine(current, urgency, excluded);
       return;
     }
-    const path = this.search.paths.chooseWithinLinks(firstPart, excluded);
+    const path = this.search.chooseReroute(firstPart, excluded);
     if (path !== undefined) {
-      const change = await engines.changePath(
-        address,
-        request.id,
-        formatPath(path, targetRegistry),
-      );
+      const change = await engines.changePath(address, request.id, formatPath(path));
       logger.info("path changed", {
         request: request.id,
         avoid: excluded,
         reason,
         urgency,
-        path: formatParts(path),
+        path: formatParts(path.parts),
         outcome: change,
       });
       switch (change.kind) {
@@ -114,11 +110,11 @@
   ): Promise<void> {
     const { state, search } = this;
     if (!search.paths.hasPathWithoutRefusing(avoided) || !search.payRetry()) return;
-    const path = await search.paths.chooseWithoutRefusing(avoided);
-    if (path === undefined || current !== state.current || current.isOver) return;
-    if (current.isDropped || findPromptRefusal(state) !== undefined) return;
+    const chosen = await search.paths.chooseWithoutRefusing(avoided);
+    if (chosen === undefined || current !== state.current || current.isOver) return;
+    const path = search.resolve(chosen);
+    if (path === undefined || current.isDropped || findPromptRefusal(state) !== undefined) return;
     const successor = this.createDispatch(path);
-    if (successor === undefined) return;
     state.successor = successor;
     runDetached(state.services.logger, "successor of a dispatch", this.observe(successor));
   }
--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -14,7 +14,7 @@
 export { CrashReporter } from "./crash-reporter.js";
 export { RequestProgress, type RequestStage } from "./request-progress.js";
 export type { LimitOutcome, RequestLimiter, TargetProcess } from "./request-limiter.js";
-export type { PartFault } from "./path-faults.js";
+export type { EnginePath, PartFault } from "./engine-path.js";
 export { PauseCause, type StreamMetrics } from "./stream-pauses.js";
 export { StreamWatch, Urgency, type ReroutableStream } from "./stream-watch.js";
 export type {
--- a/packages/attempts/src/path-search.ts
+++ b/packages/attempts/src/path-search.ts
@@ -2,11 +2,13 @@
 //! whose answer has not begun is refused if there is no path; an answer that has begun waits for one.
 import { ErrorKind, type Milliseconds } from "@lovagebend/common";
 import { RetryPurpose } from "@lovagebend/limits";
+import type { PathPart } from "@lovagebend/routing";
 import { createRefusal } from "./answer-refusal.js";
 import type { AnswerState } from "./answer-state.js";
 import type { StreamOutcome } from "./stream-outcome.js";
 import { findPatience } from "./caller-departure.js";
-import type { ChosenPath } from "./path-faults.js";
+import { EnginePath, type ChosenPath } from "./engine-path.js";
+import { formatFaults, formatParts, roundTime } from "./stream-log.js";
 import { StreamPaths } from "./stream-paths.js";
 
 // Before the answer has begun, an early refusal lets the caller retry instead of waiting for
@@ -15,6 +17,8 @@
 const resumeInterval: Milliseconds = 100;
 const maximumRefusalPause: Milliseconds = 800;
 const noPathRetryAfterSeconds = 0.5;
+// A change of the targets has been applied by then.
+const changePause: Milliseconds = 1;
 // What is known of a late path decays within about a second.
 const minimumBeginWait: Milliseconds = 300;
 const maximumBeginWait: Milliseconds = 3_000;
@@ -39,6 +43,43 @@
     return this.state.answer.hasBegun ? this.waitForPath() : this.findFirstPath();
   }
 
+  /// Returns the path to send the stream on now. If targets of `chosen` have left or changed since its
+  /// choice, it is given up.
+  resolve(chosen: ChosenPath): EnginePath | undefined {
+    const { targetRegistry, clock, logger, metrics } = this.state.services;
+    const now = clock.monotonicTime();
+    const { parts, chosenAt } = chosen;
+    const path = EnginePath.resolve(parts, { layerCount: this.layerCount, targetRegistry, now });
+    if (path.isOk) return path.value;
+    for (const { fault } of path.error) metrics.recordPartFault(fault);
+    logger.warn("path given up", {
+      request: this.state.request.id,
+      path: formatParts(parts),
+      faults: formatFaults(path.error),
+      age: roundTime(now - chosenAt),
+    });
+    return undefined;
+  }
+
+  /// Logs what has become of a path that is not used because the stream had to wait.
+  reportChange(chosen: ChosenPath): void {
+    this.resolve(chosen);
+  }
+
+  /// Returns the path on which a running answer goes on behind `firstPart`, which it keeps.
+  chooseReroute(firstPart: PathPart, excluded: readonly string[]): EnginePath | undefined {
+    const { targetRegistry, clock } = this.state.services;
+    const parts = this.paths.chooseWithinLinks(firstPart, excluded);
+    if (parts === undefined) return undefined;
+    const path = EnginePath.resolve(parts, {
+      layerCount: this.layerCount,
+      targetRegistry,
+      now: clock.monotonicTime(),
+      keptTarget: firstPart.target,
+    });
+    return path.unwrapOr(undefined);
+  }
+
   /// Charges the retry budget for the next dispatch, unless that has been done.
   payRetry(): boolean {
     const { request, answer, services } = this.state;
@@ -69,6 +110,16 @@
     this.refusalPause = Math.min(maximumRefusalPause, this.refusalPause * 2);
   }
 
+  /// Lets other work go on after a path has been given up.
+  waitAfterChange(): Promise<void> {
+    const { request, services } = this.state;
+    return services.clock.sleep(changePause, request.signal);
+  }
+
+  private get layerCount(): number {
+    return this.state.request.service.model?.layerCount ?? 0;
+  }
+
   private async findFirstPath(): Promise<ChosenPath> {
     const { state, paths } = this;
     const { excludedTargets } = state;
--- a/packages/attempts/src/prompt-admission.ts
+++ b/packages/attempts/src/prompt-admission.ts
@@ -5,10 +5,10 @@
 import type { AnswerState } from "./answer-state.js";
 import { AnswerEnd } from "./stream-end.js";
 
+export type PromptRefusal = Exclude<Admission, { kind: "admitted" }>;
+
 /// Returns why the prompt is not admitted. An answer that has lived shows that its prompt is sound.
-export function findPromptRefusal(
-  state: AnswerState,
-): Exclude<Admission, { kind: "admitted" }> | undefined {
+export function findPromptRefusal(state: AnswerState): PromptRefusal | undefined {
   if (state.hasLived) return undefined;
   const { quarantine, clock, holdsTrial } = state.services;
   const { sharedPromptParts } = state.request;
@@ -16,25 +16,38 @@
   return admission.kind === "admitted" ? undefined : admission;
 }
 
-/// Ends the request if a part of its prompt is not admitted, and returns whether it has ended. An
-/// answer that has begun waits for the evidence that a paused part lacks.
-export async function endIfQuarantined(state: AnswerState): Promise<boolean> {
-  for (;;) {
-    const refusal = findPromptRefusal(state);
-    if (refusal === undefined) return false;
-    const { kind, part, retryAfter } = refusal;
-    const { clock, logger } = state.services;
-    const { id, signal, deadline } = state.request;
-    logger.warn("prompt not admitted", { request: id, reason: kind, part });
-    state.reason = `Part ${part} is ${kind}.`;
-    if (!state.answer.hasBegun)
-      throw createRefusal(state, ErrorKind.PromptQuarantined, state.reason, retryAfter / 1_000);
-    const admittedAt = clock.monotonicTime() + retryAfter;
-    if (kind === "quarantined" || admittedAt >= deadline) {
-      breakOff(state, AnswerEnd.PromptQuarantined);
-      return true;
-    }
-    await clock.sleep(retryAfter, signal);
-    if (checkEnded(state)) return true;
+/// Throws if a part of the prompt of an answer that has not begun is not admitted.
+export function assertPromptAdmitted(state: AnswerState): void {
+  const refusal = findPromptRefusal(state);
+  if (refusal === undefined) return;
+  recordRefusal(state, refusal);
+  const { retryAfter } = refusal;
+  throw createRefusal(state, ErrorKind.PromptQuarantined, state.reason, retryAfter / 1_000);
+}
+
+/// Has an answer that has begun wait for the evidence that a paused part lacks. Ends the answer if
+/// its deadline comes first or if the part is quarantined, and returns whether it has ended.
+export async function waitForEvidence(
+  state: AnswerState,
+  refusal: PromptRefusal,
+): Promise<boolean> {
+  recordRefusal(state, refusal);
+  const { clock } = state.services;
+  const { signal, deadline } = state.request;
+  const admittedAt = clock.monotonicTime() + refusal.retryAfter;
+  if (refusal.kind === "quarantined" || admittedAt >= deadline) {
+    breakOff(state, AnswerEnd.PromptQuarantined);
+    return true;
   }
+  await clock.sleep(refusal.retryAfter, signal);
+  return checkEnded(state);
+}
+
+function recordRefusal(state: AnswerState, { kind, part }: PromptRefusal): void {
+  state.services.logger.warn("prompt not admitted", {
+    request: state.request.id,
+    reason: kind,
+    part,
+  });
+  state.reason = `Part ${part} is ${kind}.`;
 }
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -9,10 +9,10 @@
   TargetConnections,
 } from "@lovagebend/forwarding";
 import type { FairAdmissions, LinkBudget, SharedRetryBudget } from "@lovagebend/limits";
-import type { PathPart } from "@lovagebend/routing";
 import type { PromptQuarantine } from "@lovagebend/quarantine";
 import type { Result } from "true-myth";
 import type { CrashReporter } from "./crash-reporter.js";
+import type { EnginePath } from "./engine-path.js";
 import type { RequestProgress } from "./request-progress.js";
 import type { RequestLimiter } from "./request-limiter.js";
 import type { StreamMetrics } from "./stream-pauses.js";
@@ -120,5 +120,5 @@
   /// The number of live entry VMs in this data centre.
   readonly localEntryVmCount: () => number;
   /// Formats a path in the notation of the targets' path header.
-  readonly formatPath: (parts: readonly PathPart[], targetRegistry: TargetRegistry) => string;
+  readonly formatPath: (path: EnginePath) => string;
 }
--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -11,9 +11,9 @@
   type ExchangeOutcome,
   type TargetResponse,
 } from "@lovagebend/forwarding";
-import type { PathPart } from "@lovagebend/routing";
 import type { Result } from "true-myth";
 import type { AnswerStart } from "./answer-start.js";
+import type { EnginePath } from "./engine-path.js";
 import { FirstEventWait } from "./first-event-wait.js";
 import { isLateStart } from "./late-start.js";
 import type { Target } from "./observed-target.js";
@@ -28,6 +28,8 @@
 const silenceTimeout: Milliseconds = 1_500;
 
 export class StreamDispatch {
+  /// The first engine of the path.
+  readonly target: Target;
   readonly dispatchedAt: Milliseconds;
   readonly outcome: Promise<StreamOutcome>;
   /// The time until the first event.
@@ -48,10 +50,9 @@
   // Whether the engine has added an event to the stream.
   private hasProgressed = false;
 
-  /// Sends the request to `target`, the first engine of `path`.
+  /// Sends the request to the first engine of `path`.
   constructor(
-    readonly target: Target,
-    public path: readonly PathPart[],
+    public path: EnginePath,
     readonly start: AnswerStart,
     private readonly lastEventId: string | undefined,
     private readonly request: RoutedRequest,
@@ -60,19 +61,20 @@
     /// The estimated time to the first event.
     readonly expectedFirstEvent?: Milliseconds,
   ) {
+    this.target = path.first.engine;
     this.dispatchedAt = services.clock.monotonicTime();
     const { targetRegistry } = services;
     this.watched = new WatchedDispatch(
       receiver,
       request.id,
-      path,
+      path.parts,
       this.dispatchedAt,
       targetRegistry,
       lastEventId === undefined ? countMaximumEvents(request) : undefined,
     );
     if (expectedFirstEvent !== undefined)
       this.firstEventWait = new FirstEventWait(
-        path,
+        path.parts,
         this.dispatchedAt,
         expectedFirstEvent,
         targetRegistry,
@@ -109,10 +111,10 @@
     this.watched.recordProgress(this.services.clock.monotonicTime(), events);
   }
 
-  recordReroute(path: readonly PathPart[]): void {
+  recordReroute(path: EnginePath): void {
     this.firstEventWait?.cancel();
     this.path = path;
-    this.watched.recordReroute(path, this.services.clock.monotonicTime());
+    this.watched.recordReroute(path.parts, this.services.clock.monotonicTime());
   }
 
   private async run(): Promise<StreamOutcome> {
@@ -123,7 +125,7 @@
     };
     request.signal.addEventListener("abort", endWithRequest);
     if (request.signal.aborted) endWithRequest();
-    const releases = path.map(({ target }) =>
+    const releases = path.parts.map(({ target }) =>
       services.targetRegistry.begin(target, request.tokens, request.promptTokens),
     );
     try {
@@ -155,7 +157,7 @@
 
   private send(remainingTime: Milliseconds): Promise<ExchangeOutcome> {
     const { request, services, target } = this;
-    const { targetRegistry, connections, headerNames } = services;
+    const { connections, headerNames } = services;
     return sendToTarget(
       {
         id: request.id,
@@ -171,7 +173,7 @@
             expectedTarget: target.name,
             workspace: request.workspace,
             priority: request.enginePriority,
-            path: services.formatPath(this.path, targetRegistry),
+            path: services.formatPath(this.path),
             lastEventId: this.lastEventId,
           },
           headerNames,
--- a/packages/attempts/src/stream-log.ts
+++ b/packages/attempts/src/stream-log.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "@lovagebend/common";
 import type { PathPart } from "@lovagebend/routing";
 import type { AnswerState } from "./answer-state.js";
-import type { FaultyPart } from "./path-faults.js";
+import type { FaultyPart } from "./engine-path.js";
 import type { StreamDispatch } from "./stream-dispatch.js";
 import type { StreamOutcome } from "./stream-outcome.js";
 
@@ -14,7 +14,7 @@
   const { clock, logger } = services;
   logger.info("stream offered", {
     request: request.id,
-    path: formatParts(dispatch.path),
+    path: formatParts(dispatch.path.parts),
     promptParts: request.sharedPromptParts.join(","),
     lastEvent: lastEventId,
     expectedFirstEvent: roundTime(dispatch.expectedFirstEvent),
--- a/packages/attempts/src/stream-paths.ts
+++ b/packages/attempts/src/stream-paths.ts
@@ -10,7 +10,7 @@
 } from "@lovagebend/routing";
 import { estimateEngineLoad, type EngineLoad } from "./engine-cost.js";
 import { estimatePath, type PathEstimate } from "./first-event-estimate.js";
-import type { ChosenPath } from "./path-faults.js";
+import type { ChosenPath } from "./engine-path.js";
 import { chooseSpreadPath, findQuickestPath, type StreamObjectives } from "./path-spread.js";
 import { drawNearTargets } from "./searched-data-centres.js";
 import type { AttemptServices } from "./routed-request.js";
--- a/packages/attempts/src/stream-pauses.ts
+++ b/packages/attempts/src/stream-pauses.ts
@@ -1,7 +1,7 @@
 //! The pauses that the caller of a stream sees: the time to its first event and the longest time
 //! between two of its events, with whether the stream was moved to other engines in or before it.
 import type { Milliseconds } from "@lovagebend/common";
-import type { PartFault } from "./path-faults.js";
+import type { PartFault } from "./engine-path.js";
 
 /// Whether a stream was moved before its longest pause, in it, or neither.
 export enum PauseCause {
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -11,14 +11,13 @@
 import { AnswerState } from "./answer-state.js";
 import { recordOutcome } from "./dispatch-record.js";
 import { DispatchSuccession } from "./dispatch-succession.js";
-import { findFaultyParts, type ChosenPath } from "./path-faults.js";
+import type { EnginePath } from "./engine-path.js";
 import { PathSearch } from "./path-search.js";
-import { endIfQuarantined } from "./prompt-admission.js";
+import { assertPromptAdmitted, findPromptRefusal, waitForEvidence } from "./prompt-admission.js";
 import type { AttemptServices, CallerAnswer, RoutedRequest } from "./routed-request.js";
 import { StreamDispatch } from "./stream-dispatch.js";
 import { DispatchEnd, type StreamOutcome, type StreamReceiver } from "./stream-outcome.js";
 import { AnswerEnd, findAnswerEnd } from "./stream-end.js";
-import { formatFaults, formatParts, roundTime } from "./stream-log.js";
 import type { Urgency } from "./stream-watch.js";
 
 /// Executes `request` and streams its events to `answer`. Throws a `RouterError` on a failure
@@ -61,21 +60,31 @@
     this.assertAdmitted();
     for (;;) {
       if (checkEnded(state)) return;
-      if (!answer.hasBegun && (await endIfQuarantined(state))) return;
+      if (!answer.hasBegun) assertPromptAdmitted(state);
       this.assertLinks();
       request.progress.recordWait();
-      const path = await this.search.find();
+      const chosen = await this.search.find();
       // The signal may have aborted while the path was being found.
       if (checkEnded(state)) return;
-      if (path === undefined) {
+      if (chosen === undefined) {
         breakOff(state, AnswerEnd.DeadlinePassed);
         return;
       }
-      // The evidence may have come during the wait.
-      if (answer.hasBegun && (await endIfQuarantined(state))) return;
+      const path = this.search.resolve(chosen);
+      if (path === undefined) {
+        await this.search.waitAfterChange();
+        continue;
+      }
+      // The evidence may have come during the wait. Nothing may be awaited between here and the
+      // dispatch, as the path and the admission hold only for this moment.
+      const refusal = answer.hasBegun ? findPromptRefusal(state) : undefined;
+      if (refusal !== undefined) {
+        if (await waitForEvidence(state, refusal)) return;
+        this.search.reportChange(chosen);
+        continue;
+      }
       if (answer.hasBegun) state.pauses.recordMove(clock.monotonicTime());
       state.current = this.createDispatch(path);
-      if (state.current === undefined) continue;
       request.progress.recordOffer(state.current.target.name);
       state.current.watch();
       const outcome = await this.follow(state.current);
@@ -155,34 +164,13 @@
     throw createRefusal(state, ErrorKind.TargetUnreachable, state.reason);
   }
 
-  private createDispatch(path: ChosenPath): StreamDispatch | undefined {
-    const { request, services, state } = this;
-    const { parts } = path;
-    this.reportFaults(path);
-    const first = parts[0] === undefined ? undefined : services.targetRegistry.get(parts[0].target);
+  private createDispatch(path: EnginePath): StreamDispatch {
+    const { request, services, state, search } = this;
     state.dispatches += 1;
-    this.search.recordDispatch();
-    if (first === undefined) {
-      state.reason = "the first target is no longer listed";
-      return undefined;
-    }
+    search.recordDispatch();
     const start = this.createStart();
-    const expected = this.search.paths.estimate(parts)?.firstEvent;
-    const { lastEventId } = state;
-    return new StreamDispatch(first, parts, start, lastEventId, request, this, services, expected);
-  }
-
-  private reportFaults({ parts, chosenAt }: ChosenPath): void {
-    const { targetRegistry, clock, logger, metrics } = this.services;
-    const faults = findFaultyParts(parts, targetRegistry);
-    if (faults.length === 0) return;
-    for (const { fault } of faults) metrics.recordPartFault(fault);
-    logger.warn("path outdated", {
-      request: this.request.id,
-      path: formatParts(parts),
-      faults: formatFaults(faults),
-      age: roundTime(clock.monotonicTime() - chosenAt),
-    });
+    const expected = search.paths.estimate(path.parts)?.firstEvent;
+    return new StreamDispatch(path, start, state.lastEventId, request, this, services, expected);
   }
 
   private createStart(): AnswerStart {
@@ -243,7 +231,7 @@
   private endAnswer(): void {
     const { current } = this.state;
     if (current?.response === undefined) return;
-    for (const { target } of current.path) this.services.targetRegistry.recordSuccess(target);
+    for (const { target } of current.path.parts) this.services.targetRegistry.recordSuccess(target);
     this.beginAnswer(current.response);
     this.answer.end();
   }
--- a/packages/attempts/test/stream-fixture.ts
+++ b/packages/attempts/test/stream-fixture.ts
@@ -2,7 +2,13 @@
 //! services that decide on retries are faked, so that a test can change their word at any time.
 import http from "node:http";
 import type { AddressInfo } from "node:net";
-import { ListedState, RouteKind, type ServiceProfile } from "@lovagebend/catalog";
+import {
+  ListedState,
+  RouteKind,
+  type LayerRange,
+  type ListedTarget,
+  type ServiceProfile,
+} from "@lovagebend/catalog";
 import { MessageBody, systemClock, type Logger } from "@lovagebend/common";
 import { AnswerMemory, TargetConnections, type HeaderNames } from "@lovagebend/forwarding";
 import { FairAdmissions, LinkBudget, type SharedRetryBudget } from "@lovagebend/limits";
@@ -142,10 +148,13 @@
 
 export class FakedEngine {
   readonly responses: http.ServerResponse[] = [];
+  /// The paths of the requests, with names in place of addresses.
+  readonly paths: string[] = [];
   private readonly server = http.createServer((request, response) => {
     request.resume();
     request.on("error", discard);
     this.responses.push(response);
+    this.paths.push(String(request.headers[headerNames.path]));
     this.behaviour(response, this.responses.length);
   });
 
@@ -181,6 +190,7 @@
   /// The longest pauses of the streams that have ended.
   readonly longestPauses: { readonly seconds: number; readonly cause: PauseCause }[] = [];
   private readonly engines: FakedEngine[] = [];
+  private readonly entries = new Map<string, ListedTarget>();
   private readonly watched = new Set<ReroutableStream>();
   private readonly registry = new TargetRegistry(systemClock, logger);
   private readonly connections = new TargetConnections();
@@ -188,10 +198,11 @@
   async addEngine(
     name: string,
     behaviour: (response: http.ServerResponse, count: number) => void,
+    layers: LayerRange = { first: 0, end: 2 },
   ): Promise<FakedEngine> {
     const engine = new FakedEngine(name, behaviour);
     this.engines.push(engine);
-    this.registry.addOrUpdate({
+    const entry = {
       name,
       service: "model",
       host: "127.0.0.1",
@@ -201,11 +212,30 @@
       born: 1,
       slots: 100,
       card: "card",
-      layers: { first: 0, end: 2 },
-    });
+      layers,
+    };
+    this.entries.set(name, entry);
+    this.registry.addOrUpdate(entry);
     return engine;
   }
 
+  /// Changes the entry of an engine.
+  updateEntry(name: string, changes: Partial<ListedTarget>): void {
+    const entry = this.entries.get(name);
+    if (entry === undefined) throw new Error(`no engine ${name}`);
+    this.registry.addOrUpdate({ ...entry, ...changes });
+  }
+
+  /// Removes the entry of an engine, which goes on serving.
+  removeEntry(name: string): void {
+    this.registry.markUnlisted(name);
+  }
+
+  /// Has this entry VM suspect an engine.
+  suspect(name: string): void {
+    this.registry.suspect(name, "no answer");
+  }
+
   /// Starts the stream. Resolves when it has ended.
   run(): Promise<void> {
     return answerStreaming(this.createRequest(), this.answer, this.createServices());
@@ -316,7 +346,8 @@
       dataCentre: "north",
       entryVmCount: () => 1,
       localEntryVmCount: () => 1,
-      formatPath: () => "path",
+      formatPath: ({ parts }) =>
+        parts.map(({ engine, first, end }) => `${engine.name}:${first}-${end}`).join(" "),
     };
   }
 }
--- a/packages/entry/src/entry-dependencies.ts
+++ b/packages/entry/src/entry-dependencies.ts
@@ -1,13 +1,12 @@
 //! The settings and dependencies that a deployment passes to an entry VM: addresses, time
 //! limits, table names, the store and the codecs of its rows.
-import type { EngineCalls } from "@lovagebend/attempts";
+import type { EngineCalls, EnginePath } from "@lovagebend/attempts";
 import type { TargetRegistry } from "@lovagebend/attempts";
 import type { ListedTarget, RouteTable } from "@lovagebend/catalog";
 import type { Clock, Logger, Milliseconds } from "@lovagebend/common";
 import type { HeaderNames } from "@lovagebend/forwarding";
 import type { AdmissionOrder, SharedRetryBudgetOptions } from "@lovagebend/limits";
 import type { EngineClient } from "@lovagebend/placement";
-import type { PathPart } from "@lovagebend/routing";
 import type { RowStore } from "@lovagebend/store";
 import type { Result } from "true-myth";
 import type { CallerLimits } from "./caller-limits.js";
@@ -72,5 +71,5 @@
   readonly readTarget: (name: string, value: Buffer) => Result<ListedTarget, string>;
   /// Creates the client for engines, whose addresses it looks up in `targetRegistry` by name.
   readonly createEngineClient: (targetRegistry: TargetRegistry) => EngineCalls & EngineClient;
-  readonly formatPath: (parts: readonly PathPart[], targetRegistry: TargetRegistry) => string;
+  readonly formatPath: (path: EnginePath) => string;
 }
