A refusal is charged to the engine of the path that it names

Requests that could be served got 503 (`targets_limited`). Cause: an engine that refuses a stream because of another one names its address, which was looked up in the list of targets when the refusal came. If that engine had left, the first engine was taken for the one that had refused and left out of the next path; if another process had taken the address, that one was. Change: the address is looked up on the path that was sent, also in the refusal of a change of a path. `TargetRegistry.findByAddress` has no use left. Measured: refusing-engines.test.ts fails in 2 of 2 cases before ("kind: targets_limited"), passes after; the tests of attempts, streams, stalled streams and leaving pass (1,584 assertions).

--- a/packages/attempts/src/dispatch-succession.ts
+++ b/packages/attempts/src/dispatch-succession.ts
@@ -47,9 +47,12 @@
           current.recordReroute(path);
           this.recordMove();
           return;
-        case "refused":
-          if (change.target !== undefined) targetRegistry.recordRefusal(change.target);
+        case "refused": {
+          const { address: refusing } = change;
+          const target = refusing === undefined ? undefined : path.findTarget(refusing);
+          if (target !== undefined) targetRegistry.recordRefusal(target);
           break;
+        }
         case "unknown":
           break;
       }
--- a/packages/attempts/src/engine-path.ts
+++ b/packages/attempts/src/engine-path.ts
@@ -75,6 +75,12 @@
   get first(): EnginePart {
     return this.parts[0];
   }
+
+  /// Returns the target that had `address` (`host:port`) when the path was made. Another process may
+  /// listen there now.
+  findTarget(address: string): string | undefined {
+    return this.parts.find(({ engine: { host, port } }) => `${host}:${port}` === address)?.target;
+  }
 }
 
 function findEngineFault(
--- a/packages/attempts/src/routed-request.ts
+++ b/packages/attempts/src/routed-request.ts
@@ -58,11 +58,11 @@
   abort(reason: string): void;
 }
 
-/// The result of moving a running answer to another path. A refusal contains the target that
-/// refused its part, if the engine reports it.
+/// The result of moving a running answer to another path. A refusal contains the address (`host:port`)
+/// of the engine that refused its part, if the first engine reports it.
 export type PathChange =
   | { readonly kind: "changed" }
-  | { readonly kind: "refused"; readonly status: number; readonly target: string | undefined }
+  | { readonly kind: "refused"; readonly status: number; readonly address: string | undefined }
   | { readonly kind: "unknown"; readonly reason: string };
 
 /// The process that answers at a target's address. `born` is the wall-clock time in milliseconds
--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -231,7 +231,7 @@
     const refusingTarget =
       faultyTarget === undefined
         ? target.name
-        : (targetRegistry.findByAddress(faultyTarget)?.name ?? target.name);
+        : (this.path.findTarget(faultyTarget) ?? target.name);
     targetRegistry.recordRefusal(refusingTarget);
     if (status === fullStatus) admission.recordRefused(clock.monotonicTime());
     const reason = `${refusingTarget} refused with status ${status}`;
--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -213,15 +213,6 @@
     return this.getStayingTargets(service).filter(({ suspectedUntil }) => suspectedUntil <= now);
   }
 
-  /// Returns the target of a declared service that listens on `address`, given as `host:port`.
-  findByAddress(address: string): Target | undefined {
-    for (const target of this.listed.values()) {
-      const { service, host, port } = target;
-      if (`${host}:${port}` === address && this.isDeclared(service)) return target;
-    }
-    return undefined;
-  }
-
   /// Counts a request started on a target, with `promptTokens` prompt tokens among `tokens`.
   /// The returned function must be called once, when the request has ended.
   begin(name: string, tokens: number, promptTokens = 0): () => void {
--- a/packages/attempts/test/stream-fixture.ts
+++ b/packages/attempts/test/stream-fixture.ts
@@ -105,6 +105,16 @@
   response.writeHead(200, { ...answerHeaders, "content-length": 0 }).end();
 }
 
+/// Refuses a request without having run it, because of the engine on `port`.
+export function refuse(response: http.ServerResponse, port: number): void {
+  const headers = {
+    "attempt-id": "request",
+    "not-executed": "1",
+    "at-server": `127.0.0.1:${port}`,
+  };
+  response.writeHead(503, headers).end();
+}
+
 export function reset(response: http.ServerResponse): void {
   response.req.socket.resetAndDestroy();
 }
@@ -165,6 +175,10 @@
 
   async listen(): Promise<number> {
     await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+    return this.port;
+  }
+
+  get port(): number {
     return (this.server.address() as AddressInfo).port;
   }
 
