A replica that leaves while its grant is awaited is chosen anew

Plain requests were sent to replicas of which it was known that they had left: they took a retry, or were refused if the budget had none. Cause: as with the paths of streams, the choice of the replica outlived a wait, here of up to 100 ms for the grant of a replica that names a limit. Change: after the grant, a replica that is no longer listed, is draining or is another process under its name is not used, and one is chosen from the list as it is then.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -177,6 +177,8 @@
       (mayUseSuspected ? choose(targetRegistry.getStayingTargets(service.name)) : undefined);
     if (target === undefined) return { kind: "none", limitRetryAfter };
     const outcome = await requestLimiter.acquire(target);
+    // The target may have left during the wait.
+    if (!targetRegistry.isStaying(target.name, target.born)) continue;
     if (outcome.kind === "allowed") return { kind: "chosen", target };
     exclude(target, outcome);
   }
--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -190,9 +190,12 @@
     return this.listed.get(name);
   }
 
-  /// Returns whether a target is listed and not leaving.
-  isStaying(name: string): boolean {
-    return this.listed.get(name)?.state === ListedState.Ready;
+  /// Returns whether a target is listed and not leaving. If `born` is given, only the process that
+  /// started then counts.
+  isStaying(name: string, born?: number): boolean {
+    const target = this.listed.get(name);
+    if (target === undefined || (born !== undefined && target.born !== born)) return false;
+    return target.state === ListedState.Ready;
   }
 
   /// Returns all listed targets of a service.
--- a/packages/attempts/test/stream-fixture.ts
+++ b/packages/attempts/test/stream-fixture.ts
@@ -14,6 +14,7 @@
 import { FairAdmissions, LinkBudget, type SharedRetryBudget } from "@lovagebend/limits";
 import type { Admission, PromptQuarantine } from "@lovagebend/quarantine";
 import {
+  answerBuffered,
   answerStreaming,
   RequestProgress,
   type PauseCause,
@@ -147,7 +148,8 @@
     callback();
   }
 
-  end(): void {
+  end(bytes?: Buffer): void {
+    if (bytes !== undefined) this.send(bytes);
     this.isComplete = true;
   }
 
@@ -255,6 +257,11 @@
     return answerStreaming(this.createRequest(), this.answer, this.createServices());
   }
 
+  /// Sends the request as one whose answer is not a stream. Resolves when it has ended.
+  runBuffered(): Promise<void> {
+    return answerBuffered(this.createRequest(), this.answer, this.createServices());
+  }
+
   /// Asks for the stream to be moved off `engine`, as after a stall.
   reroute(engine: FakedEngine, urgency: Parameters<ReroutableStream["reroute"]>[2]): void {
     for (const stream of this.watched) stream.reroute([engine.name], "stalled", urgency);
