--- a/tools/verdict.mjs
+++ b/tools/verdict.mjs
@@ -1,6 +1,7 @@
 // Evaluates a TAP report: prints the failed tests and a final line of counts. Exits with 0
-// when no test failed except those that KNOWN-RED.txt lists, and at least one passed. A
-// non-zero status of the test run without a failed test is an error.
+// when no test failed except those that KNOWN-RED.txt lists, and at least one passed. A file
+// that failed without a failed test, and a non-zero status of the test run without a failed test,
+// are errors.
 import { existsSync, readFileSync } from "node:fs";
 
 const [reportFile, status, knownFile] = process.argv.slice(2);
@@ -12,8 +13,9 @@
       .map((line) => line.slice("test: ".length).trim())
   : [];
 
-// Tests are the lines indented by one level, below the line of their file.
-const lines = report.split("\n").filter((line) => /^ {4}(not )?ok \d+ - /.test(line));
+// Tests are the lines indented by one level, before the line of their file.
+const results = report.split("\n").filter((line) => /^( {4})?(not )?ok \d+ - /.test(line));
+const lines = results.filter((line) => line.startsWith(" "));
 const getTestName = (line) =>
   line
     .replace(/^ *(not )?ok \d+ - /, "")
@@ -22,10 +24,21 @@
 const passed = lines.filter((line) => /^ {4}ok/.test(line));
 const failed = lines.filter((line) => /^ {4}not ok/.test(line)).map(getTestName);
 const unexpected = failed.filter((name) => !knownFailures.includes(name));
+const brokenFiles = [];
+let hasFailedTest = false;
+for (const line of results) {
+  hasFailedTest ||= /^ {4}not ok/.test(line);
+  if (line.startsWith(" ")) continue;
+  if (line.startsWith("not ok") && !hasFailedTest) brokenFiles.push(getTestName(line));
+  hasFailedTest = false;
+}
 
 for (const name of failed)
   console.log(`${knownFailures.includes(name) ? "known red" : "failed"}: ${name}`);
+for (const name of brokenFiles) console.log(`failed without a failed test: ${name}`);
 const isRunBroken = status !== "0" && failed.length === 0;
-if (unexpected.length > 0 || isRunBroken || passed.length === 0) console.log(report);
-console.log(`${passed.length} passed, ${failed.length} failed`);
-process.exit(unexpected.length > 0 || isRunBroken || passed.length === 0 ? 1 : 0);
+const hasFailed =
+  unexpected.length > 0 || brokenFiles.length > 0 || isRunBroken || passed.length === 0;
+if (hasFailed) console.log(report);
+console.log(`${passed.length} passed, ${failed.length + brokenFiles.length} failed`);
+process.exit(hasFailed ? 1 : 0);
