An engine that goes on after it lost an answer counts as an attempt

Cause: after an exchange of unknown outcome, a dispatch counted as a run only if the entry VM itself had ended it, so that crashed engines use up no attempts. Change: the engine's process is asked for, as for a crash at the start of an answer. If it goes on, the dispatch counts. Each further dispatch of a stream opens a new connection, since a reset of all kept connections would use up attempts otherwise.

--- a/packages/attempts/src/crash-reporter.ts
+++ b/packages/attempts/src/crash-reporter.ts
@@ -20,14 +20,14 @@
     private readonly logger: Logger,
   ) {}
 
-  /// Must be called when `target` breaks off the start of an answer to `request`. Resolves when
-  /// it is known whether the target's process has ended.
+  /// Must be called when `target` breaks off the start of an answer to `request`. Returns whether the
+  /// target's process has ended.
   async reportBrokenStart(
     target: Target,
     request: RoutedRequest,
     hasEvents: boolean,
-  ): Promise<void> {
-    if (!(await this.hasEnded(target))) return;
+  ): Promise<boolean> {
+    if (!(await this.hasEnded(target))) return false;
     const crash = `${target.name}/${target.born}`;
     this.quarantine.recordCrash(crash, request.sharedPromptParts, this.clock.monotonicTime());
     this.logger.warn("target ended while an answer was starting", {
@@ -37,6 +37,7 @@
       promptParts: request.sharedPromptParts,
       hasEvents,
     });
+    return true;
   }
 
   /// Whether the process of `target` has ended. A target without a usable answer counts as ended
--- a/packages/attempts/src/dispatch-record.ts
+++ b/packages/attempts/src/dispatch-record.ts
@@ -28,22 +28,29 @@
     case "failed":
       runs.add(dispatch);
       return;
-    case "broken":
+    case "broken": {
       if (outcome.hasRun) runs.add(dispatch);
       if (outcome.isOwnEnd) return;
       excludedTargets.push(dispatch.target.name);
       services.targetRegistry.suspect(dispatch.target.name, outcome.reason);
-      // The report decides on the next dispatch only while the prompt may be at fault.
-      if (state.hasLived)
-        runDetached(services.logger, "crash report", reportBrokenStart(state, dispatch));
-      else await reportBrokenStart(state, dispatch);
+      const report = reportBrokenStart(state, dispatch);
+      // Otherwise the report decides on the next dispatch only while the prompt may be at fault.
+      if (outcome.hasRun && state.hasLived) {
+        runDetached(services.logger, "crash report", report);
+        return;
+      }
+      const hasEnded = await report;
+      // An engine that goes on may have run the request whose answer was lost.
+      if (!hasEnded) runs.add(dispatch);
+    }
   }
 }
 
+// Returns whether the engine has ended at the start of the answer.
 async function reportBrokenStart(
   { services, request }: AnswerState,
   { target, start }: StreamDispatch,
-): Promise<void> {
-  if (start.isOver) return;
-  await services.crashReporter.reportBrokenStart(target, request, start.hasEvents);
+): Promise<boolean> {
+  if (start.isOver) return false;
+  return services.crashReporter.reportBrokenStart(target, request, start.hasEvents);
 }
--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -58,6 +58,9 @@
     private readonly request: RoutedRequest,
     private readonly receiver: StreamReceiver,
     private readonly services: AttemptServices,
+    /// Whether to open a new connection. What broke an earlier dispatch of the stream may have broken
+    /// kept connections too.
+    private readonly requiresNewConnection: boolean,
     /// The estimated time to the first event.
     readonly expectedFirstEvent?: Milliseconds,
   ) {
@@ -179,7 +182,7 @@
           headerNames,
         ),
         body: request.body,
-        requiresNewConnection: false,
+        requiresNewConnection: this.requiresNewConnection,
         isRetryable: isRetryable(request.route),
         timeLeft: remainingTime,
         signal: this.abort.signal,
--- a/packages/attempts/src/streaming-answer.ts
+++ b/packages/attempts/src/streaming-answer.ts
@@ -168,9 +168,16 @@
     const { request, services, state, search } = this;
     state.dispatches += 1;
     search.recordDispatch();
-    const start = this.createStart();
-    const expected = search.paths.estimate(path.parts)?.firstEvent;
-    return new StreamDispatch(path, start, state.lastEventId, request, this, services, expected);
+    return new StreamDispatch(
+      path,
+      this.createStart(),
+      state.lastEventId,
+      request,
+      this,
+      services,
+      state.dispatches > 1,
+      search.paths.estimate(path.parts)?.firstEvent,
+    );
   }
 
   private createStart(): AnswerStart {
--- a/packages/attempts/test/stream-fixture.ts
+++ b/packages/attempts/test/stream-fixture.ts
@@ -70,11 +70,13 @@
   promptParts: "prompt-parts",
 };
 
-const answerHeaders = {
-  "attempt-id": "request",
-  "server-stamp": "stamp",
-  "content-type": "text/event-stream",
-};
+function createAnswerHeaders({ req }: http.ServerResponse): http.OutgoingHttpHeaders {
+  return {
+    "attempt-id": req.headers["attempt-id"],
+    "server-stamp": "stamp",
+    "content-type": "text/event-stream",
+  };
+}
 
 export function formatEvent(id: number): string {
   return `id: ${id}\ndata: token-${id}\n\n`;
@@ -82,7 +84,7 @@
 
 /// Sends a head and `ids`, and leaves the answer open.
 export function sendEvents(response: http.ServerResponse, ...ids: readonly number[]): void {
-  if (!response.headersSent) response.writeHead(200, answerHeaders);
+  if (!response.headersSent) response.writeHead(200, createAnswerHeaders(response));
   response.flushHeaders();
   for (const id of ids) response.write(formatEvent(id));
 }
@@ -91,7 +93,7 @@
 export function sendWithoutLength(response: http.ServerResponse, text: string): void {
   response.useChunkedEncodingByDefault = false;
   response.shouldKeepAlive = false;
-  response.writeHead(200, answerHeaders);
+  response.writeHead(200, createAnswerHeaders(response));
   response.flushHeaders();
   response.end(text);
 }
@@ -103,7 +105,7 @@
 
 /// Sends an answer whose length says that it is whole, and has no event.
 export function sendNothingWithLength(response: http.ServerResponse): void {
-  response.writeHead(200, { ...answerHeaders, "content-length": 0 }).end();
+  response.writeHead(200, { ...createAnswerHeaders(response), "content-length": 0 }).end();
 }
 
 /// Refuses a request without having run it, because of the engine on `port`.
@@ -162,11 +164,14 @@
   readonly responses: http.ServerResponse[] = [];
   /// The paths of the requests, with names in place of addresses.
   readonly paths: string[] = [];
+  /// The ports of the entry VM from which the requests came.
+  readonly callerPorts: (number | undefined)[] = [];
   private readonly server = http.createServer((request, response) => {
     request.resume();
     request.on("error", discard);
     this.responses.push(response);
     this.paths.push(String(request.headers[headerNames.path]));
+    this.callerPorts.push(request.socket.remotePort);
     this.behaviour(response, this.responses.length);
   });
 
@@ -196,6 +201,8 @@
   admission: Admission = { kind: "admitted" };
   /// Whether the retry budget has an allowance.
   hasBudget = true;
+  requestId = "request";
+  maximumAttempts = 3;
   /// The time until the deadline of a stream that is started.
   timeLeft = patience;
   refusedSpends = 0;
@@ -275,10 +282,10 @@
 
   private createRequest(): RoutedRequest {
     return {
-      id: "request",
+      id: this.requestId,
       method: "POST",
       path: "/",
-      rawHeaders: ["host", "model.example"],
+      rawHeaders: ["host", "model.example", "attempt-id", this.requestId],
       body: MessageBody.of(Buffer.alloc(0)),
       route: {
         name: "advice",
@@ -289,7 +296,7 @@
         latencyObjective: patience,
         priority: 5,
         services: [],
-        maximumAttempts: 3,
+        maximumAttempts: this.maximumAttempts,
         isPublic: false,
         isResumable: true,
         eventGapObjective: patience,
@@ -322,7 +329,7 @@
       },
     };
     const crashReporter: Partial<CrashReporter> = {
-      reportBrokenStart: () => Promise.resolve(),
+      reportBrokenStart: () => this.hasEnded(),
       hasEnded: () => this.hasEnded(),
     };
     const quarantine: Partial<PromptQuarantine> = {
