A target that says in an answer that it leaves gets nothing new

Cause: no code read `Server-Leaving`, and while the store is down an entry stays in use. Change: the heads of all answers are recorded in one place: the named limit, that the target responds, and now that it leaves.

--- a/packages/attempts/src/buffered-answer.ts
+++ b/packages/attempts/src/buffered-answer.ts
@@ -19,6 +19,7 @@
   type ConnectionKind,
 } from "@lovagebend/forwarding";
 import { RetryPurpose } from "@lovagebend/limits";
+import { recordAnswerHead } from "./answer-head.js";
 import { chooseReplica } from "./choose-replica.js";
 import { createEndError, isOwnEnd } from "./request-end.js";
 import type { LimitOutcome } from "./request-limiter.js";
@@ -256,10 +257,8 @@
       case "unknown":
         return { kind: "unknown", reason: reply.reason, connection };
       case "answered": {
-        targetRegistry.recordResponse(target.name);
         const { status, message, isNotRun, isDelimited } = reply.response;
-        const limit = message.headers[headerNames.requestLimit];
-        services.requestLimiter.recordAnswer(target, limit?.toString(), sentAt);
+        recordAnswerHead(target, reply.response, sentAt, services);
         recordReportedLoad(target.name, message.headers[headerNames.load], targetRegistry);
         message.on("data", () => {
           targetRegistry.recordResponse(target.name);
--- a/packages/attempts/src/observed-target.ts
+++ b/packages/attempts/src/observed-target.ts
@@ -1,6 +1,6 @@
 //! A listed target as this entry VM sees it: its entry, and what this entry VM has observed of the
 //! process behind it.
-import type { LayerRange, ListedState, ListedTarget } from "@lovagebend/catalog";
+import { ListedState, type LayerRange, type ListedTarget } from "@lovagebend/catalog";
 import type { Clock, Milliseconds } from "@lovagebend/common";
 import { DecayingRate } from "@lovagebend/limits";
 import { FirstEventLateness } from "./first-event-lateness.js";
@@ -41,6 +41,8 @@
   consecutiveFailures = 0;
   load = 0;
   respondedAt: Milliseconds = -Infinity;
+  /// Whether the process has said that it is leaving.
+  isLeaving = false;
   readonly firstEventLateness = new FirstEventLateness();
 }
 
@@ -52,7 +54,7 @@
   readonly host: string;
   readonly port: number;
   readonly dataCentre: string;
-  readonly state: ListedState;
+  readonly listedState: ListedState;
   readonly born: number;
   readonly slots: number;
   readonly card: string | undefined;
@@ -70,13 +72,17 @@
     this.host = entry.host;
     this.port = entry.port;
     this.dataCentre = entry.dataCentre;
-    this.state = entry.state;
+    this.listedState = entry.state;
     this.born = entry.born;
     this.slots = entry.slots;
     this.card = entry.card;
     this.listedLayers = entry.layers;
   }
 
+  get state(): ListedState {
+    return this.observations.isLeaving ? ListedState.Leaving : this.listedState;
+  }
+
   get layers(): LayerRange | undefined {
     return this.loadedLayers ?? this.listedLayers;
   }
--- a/packages/attempts/src/stream-dispatch.ts
+++ b/packages/attempts/src/stream-dispatch.ts
@@ -12,6 +12,7 @@
   type TargetResponse,
 } from "@lovagebend/forwarding";
 import type { Result } from "true-myth";
+import { recordAnswerHead } from "./answer-head.js";
 import type { AnswerStart } from "./answer-start.js";
 import type { EnginePath } from "./engine-path.js";
 import { FirstEventWait } from "./first-event-wait.js";
@@ -215,11 +216,9 @@
 
   private async handleAnswer(response: TargetResponse): Promise<StreamOutcome> {
     const { services, target } = this;
-    const { targetRegistry, headerNames, clock, requestLimiter } = services;
-    const { status, message, isNotRun, faultyTarget } = response;
-    const limit = message.headers[headerNames.requestLimit];
-    requestLimiter.recordAnswer(target, limit?.toString(), this.dispatchedAt);
-    targetRegistry.recordResponse(target.name);
+    const { targetRegistry, clock } = services;
+    const { status, isNotRun, faultyTarget } = response;
+    recordAnswerHead(target, response, this.dispatchedAt, services);
     const admission = services.admissions.get(this.request.service.name);
     if (status === 200 || !isNotRun) this.mayHaveRun = true;
     if (status === 200) {
--- a/packages/attempts/src/target-registry.ts
+++ b/packages/attempts/src/target-registry.ts
@@ -102,7 +102,7 @@
     const observations = this.getObservations(target.name);
     this.listed.set(target.name, new ObservedTarget(target, observations, this.clock));
     this.removePredecessors(target);
-    if (isNewProcess || previous.state !== target.state)
+    if (isNewProcess || previous.listedState !== target.state)
       this.logger.info("target listed", {
         target: target.name,
         dataCentre: target.dataCentre,
@@ -125,6 +125,15 @@
     return true;
   }
 
+  /// Records that the process of a target that started at `born` says that it is leaving. It gets no new
+  /// work from then on, whatever its entry says.
+  recordLeaving(name: string, born: number): void {
+    const target = this.listed.get(name);
+    if (target?.born !== born || target.state === ListedState.Leaving) return;
+    this.getObservations(name).isLeaving = true;
+    this.logger.info("target leaves before its entry says so", { target: name, born });
+  }
+
   /// Applies changed declarations of services to the listed entries.
   applyDeclarations(): void {
     for (const target of [...this.listed.values()]) this.removePredecessors(target);
--- a/packages/attempts/test/stream-fixture.ts
+++ b/packages/attempts/test/stream-fixture.ts
@@ -68,6 +68,7 @@
   load: "load",
   tokenCounts: "token-count",
   promptParts: "prompt-parts",
+  leaving: "server-leaving",
 };
 
 function createAnswerHeaders({ req }: http.ServerResponse): http.OutgoingHttpHeaders {
--- a/packages/entry/test/relay-fixture.ts
+++ b/packages/entry/test/relay-fixture.ts
@@ -45,6 +45,7 @@
   load: "load",
   tokenCounts: "tokens",
   promptParts: "prompt-parts",
+  leaving: "server-leaving",
   requestLimit: "request-limit",
 };
 /// What a target's success contains.
--- a/packages/forwarding/src/header-names.ts
+++ b/packages/forwarding/src/header-names.ts
@@ -34,4 +34,6 @@
   readonly tokenCounts: string;
   /// The parts of a prompt in order, as `identifier:tokens` separated by commas.
   readonly promptParts: string;
+  /// `1` if the target is leaving.
+  readonly leaving: string;
 }
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -33,6 +33,7 @@
   load: "load",
   tokenCounts: "tokens",
   promptParts: "prompt-parts",
+  leaving: "server-leaving",
   requestLimit: "request-limit",
 };
 
