--- a/packages/attempts/src/path-search.ts
+++ b/packages/attempts/src/path-search.ts
@@ -17,7 +17,7 @@
 const resumeInterval: Milliseconds = 100;
 const maximumRefusalPause: Milliseconds = 800;
 const noPathRetryAfterSeconds = 0.5;
-// A change of the targets has been applied by then.
+// Ends the turn, so that other events are handled before the next search.
 const changePause: Milliseconds = 1;
 // What is known of a late path decays within about a second.
 const minimumBeginWait: Milliseconds = 300;
